--- /dev/null
+++ b/Source/Base/error.h
@@ -0,0 +1,140 @@
+#pragma once
+/// \file
+/// Error codes of the system, and the failure that names its subject.
+
+#include <string>
+#include <string_view>
+#include <system_error>
+
+#include "Base/enum_names.h"
+
+namespace buckthorncart {
+
+/// Every way in which an operation of the system can fail. The names in the
+/// table below are part of the HTTP interface.
+enum class Errc {
+  kOk,
+  // Settings and command line.
+  kInvalidSetting,
+  kAddressInUse,
+  kUnreadableTrace,
+  // Operators' language and configuration.
+  kSyntax,
+  kUnknownObject,
+  kDuplicateObject,
+  kUnknownService,
+  kServiceInUse,
+  kInvalidValue,
+  kConflict,
+  kTooLarge,
+  kOperationIdReused,
+  kUnknownOperation,
+  kVersionNotReached,
+  // Platform.
+  kPlatformUnavailable,
+  kPlatformAnswerLost,
+  kPlatformConditionFailed,
+  kQueueFull,
+  // Wire.
+  kFrameTooLarge,
+  kMalformedFrame,
+  kStaleVersion,
+  kVersionGap,
+  kDigestMismatch,
+  kInvalidConfiguration,
+  // Requests.
+  kUnknownRoute,
+  kMissingIdempotencyKey,
+  kDeadlineExpired,
+  kInvalidDeadline,
+  kBodyTooLarge,
+  kNoBackendServer,
+  kNotReady,
+  kDraining,
+  kOverloaded,
+  kRetryBudgetSpent,
+  kBackendServerFailed,
+  kConnectionLost,
+  kCrashGuard,
+  kClaimUndecided,
+  kCancelled,
+  kNotFound,
+  kMethodNotAllowed,
+  kTimeout,
+  kDaemonUnreachable,
+};
+
+template <>
+struct EnumNames<Errc> {
+  static constexpr std::string_view kNames[] = {
+      "ok",
+      "invalid-setting",
+      "address-in-use",
+      "unreadable-trace",
+      "syntax",
+      "unknown-object",
+      "duplicate-object",
+      "unknown-service",
+      "service-in-use",
+      "invalid-value",
+      "conflict",
+      "too-large",
+      "operation-id-reused",
+      "unknown-operation",
+      "version-not-reached",
+      "platform-unavailable",
+      "platform-answer-lost",
+      "platform-condition-failed",
+      "queue-full",
+      "frame-too-large",
+      "malformed-frame",
+      "stale-version",
+      "version-gap",
+      "digest-mismatch",
+      "invalid-configuration",
+      "unknown-route",
+      "missing-idempotency-key",
+      "deadline-expired",
+      "invalid-deadline",
+      "body-too-large",
+      "no-backend-server",
+      "not-ready",
+      "draining",
+      "overloaded",
+      "retry-budget-spent",
+      "backend-server-failed",
+      "connection-lost",
+      "crash-guard",
+      "claim-undecided",
+      "cancelled",
+      "not-found",
+      "method-not-allowed",
+      "timeout",
+      "daemon-unreachable",
+  };
+};
+
+/// Category of `Errc`; messages are the names above.
+const std::error_category& ErrorCategory();
+
+/// Found by argument-dependent lookup when an `Errc` becomes a
+/// `std::error_code`.
+std::error_code make_error_code(
+    Errc code);  // NOLINT(readability-identifier-naming)
+
+/// A typed failure that names the thing it is about, what was expected of it
+/// and what to do next. The texts may be empty; the code never is `kOk`.
+struct Failure {
+  Errc code = Errc::kOk;
+  std::string subject;
+  std::string expected;
+  std::string advice;
+
+  /// One line for people: `code: subject; expected …; advice`.
+  std::string Describe() const;
+};
+
+}  // namespace buckthorncart
+
+template <>
+struct std::is_error_code_enum<buckthorncart::Errc> : std::true_type {};
--- /dev/null
+++ b/Source/Base/overload.h
@@ -0,0 +1,15 @@
+#pragma once
+/// \file
+/// Visitor made of lambdas, for `std::visit`.
+
+namespace buckthorncart {
+
+template <typename... Visitors>
+struct Overload : Visitors... {
+  using Visitors::operator()...;
+};
+
+template <typename... Visitors>
+Overload(Visitors...) -> Overload<Visitors...>;
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Config/change.h
@@ -0,0 +1,28 @@
+#pragma once
+/// \file
+/// An accepted change: the delta from one version to the next.
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+#include "Config/edit.h"
+
+namespace buckthorncart {
+
+struct Change {
+  /// Version that results; the change applies to `version - 1` only.
+  uint64_t version = 0;
+  std::string operation_id;
+  std::vector<Edit> edits;
+  /// Digest of the whole configuration that results.
+  uint64_t digest = 0;
+  /// Wall-clock time of acceptance, milliseconds since the epoch.
+  uint64_t accepted_ms = 0;
+
+  bool operator==(const Change&) const = default;
+  MSGPACK_DEFINE(version, operation_id, edits, digest, accepted_ms)
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Config/configuration.cc
@@ -0,0 +1,125 @@
+#include "Config/configuration.h"
+
+#include <algorithm>
+
+#include "Base/digest.h"
+#include "Wire/codec.h"
+
+namespace buckthorncart {
+namespace {
+
+constexpr uint32_t kMillion = 1'000'000;
+constexpr uint32_t kMaxTimeoutMs = 3'600'000;
+
+bool Selects(const Rule& rule, const std::string& data_centre,
+             const std::map<std::string, std::string>& labels) {
+  if (!rule.data_centre.empty() && rule.data_centre != data_centre) {
+    return false;
+  }
+  return std::all_of(rule.labels.begin(), rule.labels.end(),
+                     [&labels](const auto& wanted) {
+                       const auto it = labels.find(wanted.first);
+                       return it != labels.end() && it->second == wanted.second;
+                     });
+}
+
+bool IsPrefixOnBoundary(std::string_view prefix, std::string_view path) {
+  if (!path.starts_with(prefix)) return false;
+  if (path.size() == prefix.size()) return true;
+  return prefix.back() == '/' || path[prefix.size()] == '/';
+}
+
+Failure UnknownService(const std::string& object, const std::string& service) {
+  return {Errc::kUnknownService, object + " -> service " + service,
+          "the name of an existing service",
+          "create the service in the same change or name another one"};
+}
+
+void CheckShare(const std::string& subject, uint32_t ppm,
+                std::vector<Failure>& failures) {
+  if (ppm > 0 && ppm < kMillion) return;
+  failures.push_back({Errc::kInvalidValue, subject,
+                      "a share above 0 and below 100 per cent",
+                      "write for example 99.9"});
+}
+
+}  // namespace
+
+uint64_t Configuration::Digest() const { return DigestOf(Encode(*this)); }
+
+std::vector<Failure> Configuration::Validate() const {
+  std::vector<Failure> failures;
+  for (const auto& [name, service] : services) {
+    CheckShare("service " + name + " availability", service.availability_ppm,
+               failures);
+    CheckShare("service " + name + " latency-share", service.latency_ppm,
+               failures);
+  }
+  std::map<std::string, std::string> route_by_path;
+  for (const auto& [name, route] : routes) {
+    if (!services.contains(route.service)) {
+      failures.push_back(UnknownService("route " + name, route.service));
+    }
+    if (route.path.empty() || route.path.front() != '/') {
+      failures.push_back({Errc::kInvalidValue, "route " + name + " path",
+                          "a path that starts with /", "write path=/name"});
+    }
+    if (route.timeout_ms == 0 || route.timeout_ms > kMaxTimeoutMs) {
+      failures.push_back({Errc::kInvalidValue, "route " + name + " timeout",
+                          "1ms to 1h", "write for example timeout=500ms"});
+    }
+    const auto [it, inserted] = route_by_path.emplace(route.path, name);
+    if (inserted) continue;
+    failures.push_back({Errc::kDuplicateObject,
+                        "route " + name + " path " + route.path,
+                        "a path that no other route has",
+                        "change or delete route " + it->second});
+  }
+  for (const auto& [name, rule] : rules) {
+    if (services.contains(rule.service)) continue;
+    failures.push_back(UnknownService("rule " + name, rule.service));
+  }
+  if (Encode(*this).size() > kMaxConfigurationBytes) {
+    failures.push_back(
+        {Errc::kTooLarge, "configuration",
+         std::to_string(kMaxConfigurationBytes) + " bytes at most",
+         "delete objects that are no longer used"});
+  }
+  return failures;
+}
+
+const Route* Configuration::FindRoute(std::string_view path) const {
+  path = path.substr(0, path.find('?'));
+  const Route* best = nullptr;
+  for (const auto& [name, route] : routes) {
+    if (!IsPrefixOnBoundary(route.path, path)) continue;
+    if (best != nullptr && best->path.size() >= route.path.size()) continue;
+    best = &route;
+  }
+  return best;
+}
+
+bool Configuration::Allows(
+    const std::string& service, RequestClass request_class,
+    const std::string& data_centre,
+    const std::map<std::string, std::string>& labels) const {
+  bool allow_rules = false;
+  bool allowed = false;
+  for (const auto& [name, rule] : rules) {
+    if (rule.service != service) continue;
+    if (!rule.request_class.empty() &&
+        rule.request_class != NameOf(request_class)) {
+      continue;
+    }
+    const bool selected = Selects(rule, data_centre, labels);
+    if (rule.action == RuleAction::kDeny) {
+      if (selected) return false;
+      continue;
+    }
+    allow_rules = true;
+    allowed = allowed || selected;
+  }
+  return !allow_rules || allowed;
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Config/edit.cc
@@ -0,0 +1,235 @@
+#include "Config/edit.h"
+
+#include "Config/configuration.h"
+#include "Config/value_parsers.h"
+
+namespace buckthorncart {
+namespace {
+
+Failure InvalidValue(const Edit& edit, const Assignment& assignment,
+                     std::string expected) {
+  return {Errc::kInvalidValue,
+          edit.ObjectName() + " " + assignment.key + "=" + assignment.value,
+          std::move(expected), "correct the value"};
+}
+
+Failure UnknownKey(const Edit& edit, const Assignment& assignment,
+                   std::string known) {
+  return {Errc::kInvalidValue, edit.ObjectName() + " " + assignment.key,
+          "one of " + std::move(known), "correct the key"};
+}
+
+/// Returns a failure, or nothing after the assignment has been applied.
+using AssignResult = std::optional<Failure>;
+
+template <typename T>
+AssignResult Store(const Edit& edit, const Assignment& assignment,
+                   const std::optional<T>& parsed, T& target,
+                   std::string expected) {
+  if (!parsed) return InvalidValue(edit, assignment, std::move(expected));
+  target = *parsed;
+  return std::nullopt;
+}
+
+std::optional<std::string> ParseNameValue(const std::string& value) {
+  if (!IsName(value)) return std::nullopt;
+  return value;
+}
+
+std::optional<std::string> ParseOptionalName(const std::string& value) {
+  if (value.empty()) return value;
+  return ParseNameValue(value);
+}
+
+std::optional<bool> ParseYesNo(std::string_view value) {
+  if (value == "yes") return true;
+  if (value == "no") return false;
+  return std::nullopt;
+}
+
+std::optional<std::string> ParsePath(const std::string& value) {
+  if (value.empty() || value.front() != '/') return std::nullopt;
+  if (value.find_first_of(" \t?#\"") != std::string::npos) return std::nullopt;
+  return value;
+}
+
+constexpr const char* kExpectedName = "1 to 64 of a-z A-Z 0-9 - _ .";
+constexpr const char* kExpectedShare = "per cent, for example 99.9";
+constexpr const char* kExpectedTime = "a time such as 250ms, 3s or 2m";
+
+AssignResult Assign(const Edit& edit, const Assignment& a, Service& service) {
+  if (a.key == "availability") {
+    return Store(edit, a, ParseShare(a.value), service.availability_ppm,
+                 kExpectedShare);
+  }
+  if (a.key == "latency") {
+    return Store(edit, a, ParseMilliseconds(a.value), service.latency_ms,
+                 kExpectedTime);
+  }
+  if (a.key == "latency-share") {
+    return Store(edit, a, ParseShare(a.value), service.latency_ppm,
+                 kExpectedShare);
+  }
+  return UnknownKey(edit, a, "availability | latency | latency-share");
+}
+
+AssignResult Assign(const Edit& edit, const Assignment& a, Route& route) {
+  if (a.key == "path") {
+    return Store(edit, a, ParsePath(a.value), route.path,
+                 "a path that starts with /");
+  }
+  if (a.key == "service") {
+    return Store(edit, a, ParseNameValue(a.value), route.service,
+                 kExpectedName);
+  }
+  if (a.key == "class") {
+    return Store(edit, a, ParseEnum<RequestClass>(a.value), route.request_class,
+                 NamesOf<RequestClass>());
+  }
+  if (a.key == "repeatable") {
+    return Store(edit, a, ParseYesNo(a.value), route.repeatable, "yes | no");
+  }
+  if (a.key == "timeout") {
+    return Store(edit, a, ParseMilliseconds(a.value), route.timeout_ms,
+                 kExpectedTime);
+  }
+  return UnknownKey(edit, a, "path | service | class | repeatable | timeout");
+}
+
+constexpr std::string_view kLabelPrefix = "label.";
+
+AssignResult AssignLabel(const Edit& edit, const Assignment& a, Rule& rule) {
+  const std::string label = a.key.substr(kLabelPrefix.size());
+  if (!IsName(label)) return InvalidValue(edit, a, kExpectedName);
+  if (a.value.empty()) {
+    rule.labels.erase(label);
+    return std::nullopt;
+  }
+  return Store(edit, a, ParseNameValue(a.value), rule.labels[label],
+               kExpectedName);
+}
+
+std::optional<std::string> ParseClassName(const std::string& value) {
+  if (value.empty() || ParseEnum<RequestClass>(value)) return value;
+  return std::nullopt;
+}
+
+AssignResult Assign(const Edit& edit, const Assignment& a, Rule& rule) {
+  if (a.key == "service") {
+    return Store(edit, a, ParseNameValue(a.value), rule.service, kExpectedName);
+  }
+  if (a.key == "action") {
+    return Store(edit, a, ParseEnum<RuleAction>(a.value), rule.action,
+                 NamesOf<RuleAction>());
+  }
+  if (a.key == "class") {
+    return Store(edit, a, ParseClassName(a.value), rule.request_class,
+                 NamesOf<RequestClass>());
+  }
+  if (a.key == "data-centre") {
+    return Store(edit, a, ParseOptionalName(a.value), rule.data_centre,
+                 kExpectedName);
+  }
+  if (a.key.starts_with(kLabelPrefix)) return AssignLabel(edit, a, rule);
+  return UnknownKey(edit, a,
+                    "service | action | class | data-centre | label.NAME");
+}
+
+template <typename Object>
+AssignResult PutObject(const Edit& edit, std::map<std::string, Object>& all) {
+  const auto it = all.find(edit.name);
+  const bool exists = it != all.end();
+  if (edit.action == EditAction::kCreate && exists) {
+    return Failure{Errc::kDuplicateObject, edit.ObjectName(),
+                   "a name that is not in use",
+                   "change the object or choose another name"};
+  }
+  if (edit.action == EditAction::kChange && !exists) {
+    return Failure{Errc::kUnknownObject, edit.ObjectName(),
+                   "the name of an existing object", "create it first"};
+  }
+  Object object = exists ? it->second : Object{};
+  object.name = edit.name;
+  for (const Assignment& assignment : edit.assignments) {
+    AssignResult failure = Assign(edit, assignment, object);
+    if (failure) return failure;
+  }
+  all[edit.name] = std::move(object);
+  return std::nullopt;
+}
+
+template <typename Object>
+AssignResult ApplyOne(const Edit& edit, std::map<std::string, Object>& all) {
+  if (edit.action != EditAction::kDelete) return PutObject(edit, all);
+  if (all.erase(edit.name) == 1) return std::nullopt;
+  return Failure{Errc::kUnknownObject, edit.ObjectName(),
+                 "the name of an existing object", "correct the name"};
+}
+
+AssignResult ApplyOne(const Edit& edit, Configuration& configuration) {
+  if (!IsName(edit.name)) {
+    return Failure{Errc::kInvalidValue, edit.ObjectName(), kExpectedName,
+                   "choose another name"};
+  }
+  switch (edit.kind) {
+    case ObjectKind::kService:
+      return ApplyOne(edit, configuration.services);
+    case ObjectKind::kRoute:
+      return ApplyOne(edit, configuration.routes);
+    case ObjectKind::kRule:
+      return ApplyOne(edit, configuration.rules);
+  }
+  return Failure{Errc::kInvalidValue, "kind", NamesOf<ObjectKind>(), ""};
+}
+
+/// Names what still refers to a service that the edits delete, which tells the
+/// operator more than the dangling reference would.
+AssignResult FindUseOfDeletedService(const Configuration& result,
+                                     const std::vector<Edit>& edits) {
+  for (const Edit& edit : edits) {
+    const bool deletes_service =
+        edit.action == EditAction::kDelete && edit.kind == ObjectKind::kService;
+    if (!deletes_service || result.services.contains(edit.name)) continue;
+    const auto in_use = [&edit](const std::string& user) {
+      return Failure{Errc::kServiceInUse, edit.ObjectName() + " <- " + user,
+                     "a service that nothing refers to",
+                     "delete or move " + user + " in the same change"};
+    };
+    for (const auto& [name, route] : result.routes) {
+      if (route.service == edit.name) return in_use("route " + name);
+    }
+    for (const auto& [name, rule] : result.rules) {
+      if (rule.service == edit.name) return in_use("rule " + name);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string Edit::ObjectName() const {
+  return std::string(NameOf(kind)) + " " + name;
+}
+
+Result<Configuration> ApplyEditsUnchecked(const Configuration& base,
+                                          const std::vector<Edit>& edits) {
+  Configuration result = base;
+  for (const Edit& edit : edits) {
+    AssignResult failure = ApplyOne(edit, result);
+    if (failure) return tl::unexpected<Failure>(std::move(*failure));
+  }
+  return result;
+}
+
+Result<Configuration> ApplyEdits(const Configuration& base,
+                                 const std::vector<Edit>& edits) {
+  Result<Configuration> result = ApplyEditsUnchecked(base, edits);
+  if (!result) return result;
+  AssignResult in_use = FindUseOfDeletedService(*result, edits);
+  if (in_use) return tl::unexpected<Failure>(std::move(*in_use));
+  std::vector<Failure> failures = result->Validate();
+  if (failures.empty()) return result;
+  return tl::unexpected<Failure>(std::move(failures.front()));
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Config/snapshot.h
@@ -0,0 +1,23 @@
+#pragma once
+/// \file
+/// An immutable configuration with its version.
+
+#include <cstdint>
+#include <memory>
+#include <msgpack.hpp>
+
+#include "Config/configuration.h"
+
+namespace buckthorncart {
+
+struct Snapshot {
+  uint64_t version = 0;
+  uint64_t digest = 0;
+  Configuration configuration;
+
+  MSGPACK_DEFINE(version, digest, configuration)
+};
+
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Config/statement.h
@@ -0,0 +1,38 @@
+#pragma once
+/// \file
+/// Statements of the operators' language.
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Config/edit.h"
+
+namespace buckthorncart {
+
+/// What a `show` statement lists.
+enum class ShowSubject : uint8_t { kServices, kRoutes, kRules, kDaemons };
+
+template <>
+struct EnumNames<ShowSubject> {
+  static constexpr std::string_view kNames[] = {"services", "routes", "rules",
+                                                "daemons"};
+};
+
+/// `show SUBJECT [where KEY=VALUE …] [at NAME]`.
+struct ShowStatement {
+  ShowSubject subject = ShowSubject::kServices;
+  std::vector<Assignment> where;
+  /// VM address or data centre; empty for the daemon that is asked.
+  std::string at;
+};
+
+/// Create, change and delete statements, which form one change.
+struct ChangeStatement {
+  std::vector<Edit> edits;
+};
+
+using Statement = std::variant<ChangeStatement, ShowStatement>;
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Config/value_parsers.cc
@@ -0,0 +1,71 @@
+#include "Config/value_parsers.h"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+
+namespace buckthorncart {
+namespace {
+
+constexpr size_t kMaxNameLength = 64;
+constexpr uint32_t kPpmPerCent = 10'000;
+constexpr size_t kShareDecimals = 4;
+
+std::optional<uint64_t> ParseWhole(std::string_view digits) {
+  uint64_t value = 0;
+  const char* end = digits.data() + digits.size();
+  const auto [stop, ec] = std::from_chars(digits.data(), end, value);
+  if (ec != std::errc() || stop != end) return std::nullopt;
+  return value;
+}
+
+std::optional<uint32_t> ScaleToMilliseconds(std::string_view digits,
+                                            uint64_t factor) {
+  const auto value = ParseWhole(digits);
+  constexpr uint64_t kLimit = std::numeric_limits<uint32_t>::max();
+  if (!value || *value > kLimit / factor) return std::nullopt;
+  return static_cast<uint32_t>(*value * factor);
+}
+
+bool IsNameCharacter(char c) {
+  const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+  const bool digit = c >= '0' && c <= '9';
+  return letter || digit || c == '-' || c == '_' || c == '.';
+}
+
+}  // namespace
+
+std::optional<uint32_t> ParseMilliseconds(std::string_view text) {
+  if (text.ends_with("ms")) {
+    return ScaleToMilliseconds(text.substr(0, text.size() - 2), 1);
+  }
+  if (text.ends_with("s")) {
+    return ScaleToMilliseconds(text.substr(0, text.size() - 1), 1'000);
+  }
+  if (text.ends_with("m")) {
+    return ScaleToMilliseconds(text.substr(0, text.size() - 1), 60'000);
+  }
+  return std::nullopt;
+}
+
+std::optional<uint32_t> ParseShare(std::string_view text) {
+  const size_t dot = text.find('.');
+  const auto whole = ParseWhole(text.substr(0, dot));
+  if (!whole || *whole > 100) return std::nullopt;
+  auto ppm = static_cast<uint32_t>(*whole * kPpmPerCent);
+  if (dot == std::string_view::npos) return ppm;
+  const std::string_view decimals = text.substr(dot + 1);
+  const auto fraction = ParseWhole(decimals);
+  if (!fraction || decimals.size() > kShareDecimals) return std::nullopt;
+  auto scaled = static_cast<uint32_t>(*fraction);
+  for (size_t i = decimals.size(); i < kShareDecimals; ++i) scaled *= 10;
+  if (ppm + scaled > 100 * kPpmPerCent) return std::nullopt;
+  return ppm + scaled;
+}
+
+bool IsName(std::string_view text) {
+  if (text.empty() || text.size() > kMaxNameLength) return false;
+  return std::all_of(text.begin(), text.end(), IsNameCharacter);
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Daemon/daemon_settings.cc
@@ -0,0 +1,274 @@
+#include "Daemon/daemon_settings.h"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <random>
+#include <utility>
+
+#include "Base/version.h"
+#include "Config/value_parsers.h"
+
+namespace buckthorncart {
+namespace {
+
+constexpr int kUsageStatus = 2;
+constexpr std::string_view kEnvironmentPrefix = "BUCKTHORNCART_";
+constexpr std::string_view kMemoryPlatform = "memory:";
+constexpr std::string_view kHttpPlatform = "http://";
+
+/// "--peer-address" as "BUCKTHORNCART_PEER_ADDRESS".
+std::string EnvironmentName(const std::string& flag) {
+  std::string name(kEnvironmentPrefix);
+  for (const char c : flag.substr(2)) {
+    name.push_back(c == '-' ? '_' : static_cast<char>(std::toupper(c)));
+  }
+  return name;
+}
+
+/// Values that need parsing beyond what the command-line library does.
+struct RawSettings {
+  std::string peer_address;
+  std::string callers;
+  std::string operators = "127.0.0.1:7402";
+  std::string backend_server;
+  std::vector<std::string> peers;
+  std::string platform = "memory:";
+  std::string spreading = "mixed";
+  std::string log_format = "text";
+  std::string log_level = "info";
+};
+
+class SettingsParser {
+ public:
+  SettingsParser();
+  ParsedSettings Parse(int argc, char** argv);
+
+ private:
+  void AddText(const std::string& flag, std::string& target,
+               const std::string& help, bool required);
+  void AddNumber(const std::string& flag, uint32_t& target, uint32_t low,
+                 uint32_t high, const std::string& help);
+  void AddAddresses();
+  void AddConfiguration();
+  void AddMembership();
+  void AddRequests();
+  void AddPlatform();
+  void AddProcess();
+  Result<void> Resolve();
+  Result<Address> ParseAddress(const std::string& flag,
+                               const std::string& text) const;
+
+  CLI::App app_{"buckthorncartd, the daemon beside each backend server"};
+  RawSettings raw_;
+  DaemonSettings settings_;
+  uint32_t fd_limit_ = 4'096;
+  uint32_t body_limit_ = 1U << 20U;
+  uint32_t connection_limit_ = 2'048;
+};
+
+SettingsParser::SettingsParser() {
+  app_.set_version_flag("--version", std::string(kVersion));
+  AddAddresses();
+  AddConfiguration();
+  AddMembership();
+  AddRequests();
+  AddPlatform();
+  AddProcess();
+}
+
+void SettingsParser::AddText(const std::string& flag, std::string& target,
+                             const std::string& help, bool required) {
+  CLI::Option* option = app_.add_option(flag, target, help);
+  option->envname(EnvironmentName(flag));
+  if (required) {
+    option->required();
+  } else {
+    option->capture_default_str();
+  }
+}
+
+void SettingsParser::AddNumber(const std::string& flag, uint32_t& target,
+                               uint32_t low, uint32_t high,
+                               const std::string& help) {
+  app_.add_option(flag, target, help)
+      ->envname(EnvironmentName(flag))
+      ->check(CLI::Range(low, high))
+      ->capture_default_str();
+}
+
+void SettingsParser::AddAddresses() {
+  AddText("--peer-address", raw_.peer_address,
+          "IP:PORT for other daemons, TCP and UDP", true);
+  AddText("--callers", raw_.callers, "IP:PORT for callers' requests", true);
+  AddText("--operators", raw_.operators,
+          "IP:PORT for operators and the backend server", false);
+  AddText("--backend-server", raw_.backend_server,
+          "IP:PORT of the backend server beside this daemon", true);
+  AddText("--data-centre", settings_.kernel.data_centre,
+          "name of the data centre", true);
+  app_.add_option("--peer", raw_.peers,
+                  "IP:PORT of other daemons, separated by commas")
+      ->delimiter(',')
+      ->envname(EnvironmentName("--peer"));
+}
+
+void SettingsParser::AddConfiguration() {
+  KernelSettings& kernel = settings_.kernel;
+  AddText("--spreading", raw_.spreading,
+          "way of spreading new versions: " + NamesOf<Spreading>(), false);
+  AddNumber("--spreading-fanout", kernel.spreading_fanout, 1, 32,
+            "daemons told of a new version by each daemon");
+  AddNumber("--holders-timeout-ms", kernel.holders_timeout_ms, 10, 60'000,
+            "longest wait for holders in other data centres, ms");
+  AddNumber("--decision-timeout-ms", kernel.decision_timeout_ms, 100, 600'000,
+            "longest time until a change is called undecided, ms");
+  AddNumber("--head-read-interval-ms", kernel.head_read_interval_ms, 100,
+            600'000, "interval of looking for new versions, ms");
+  AddNumber("--snapshot-every", kernel.snapshot_every, 1, 100'000,
+            "versions between two stored snapshots");
+}
+
+void SettingsParser::AddMembership() {
+  KernelSettings& kernel = settings_.kernel;
+  AddNumber("--probe-period-ms", kernel.probe_period_ms, 50, 60'000,
+            "interval of probes, ms");
+  AddNumber("--probe-timeout-ms", kernel.probe_timeout_ms, 10, 60'000,
+            "time until a probe is repeated through others, ms");
+  AddNumber("--suspicion-ms", kernel.suspicion_ms, 100, 600'000,
+            "time from suspicion until a daemon is taken as gone, ms");
+  AddNumber("--peer-timeout-ms", kernel.peer_timeout_ms, 500, 600'000,
+            "silence after which a peer is taken as lost, ms");
+}
+
+void SettingsParser::AddRequests() {
+  KernelSettings& kernel = settings_.kernel;
+  AddNumber("--queue-limit", kernel.queue_limit, 0, 100'000,
+            "requests that wait for a slot of the backend server");
+  AddNumber("--max-attempts", kernel.max_attempts, 1, 16,
+            "backend servers tried for one call");
+  AddNumber("--retry-budget-percent", kernel.retry_budget_percent, 0, 100,
+            "retries for each hundred calls");
+  AddNumber("--slow-start-ms", kernel.slow_start_ms, 0, 600'000,
+            "time until a new backend server takes a full share, ms");
+  AddNumber("--body-limit", body_limit_, 0, 64U << 20U,
+            "largest request body, bytes");
+  AddNumber("--connection-limit", connection_limit_, 1, 65'536,
+            "connections of callers");
+}
+
+void SettingsParser::AddPlatform() {
+  KernelSettings& kernel = settings_.kernel;
+  AddText("--platform", raw_.platform, "memory: or http://IP:PORT", false);
+  AddNumber("--platform-timeout-ms", kernel.platform_timeout_ms, 10, 60'000,
+            "longest wait for the platform, ms");
+  AddNumber("--platform-queue-limit", kernel.platform_queue_limit, 1, 100'000,
+            "requests that wait for the platform");
+}
+
+void SettingsParser::AddProcess() {
+  AddText("--trace", settings_.trace_path,
+          "file to record a trace in, for tests", false);
+  AddText("--log-format", raw_.log_format, "format: " + NamesOf<LogFormat>(),
+          false);
+  AddText("--log-level", raw_.log_level, "lowest level: " + NamesOf<LogLevel>(),
+          false);
+  AddNumber("--fd-limit", fd_limit_, 64, 65'536, "open file descriptors");
+  app_.add_flag("--check", settings_.check, "check the settings and exit");
+}
+
+Result<Address> SettingsParser::ParseAddress(const std::string& flag,
+                                             const std::string& text) const {
+  auto address = Address::Parse(text);
+  if (address) return address;
+  Failure failure = address.error();
+  failure.subject = flag + " " + text;
+  return tl::unexpected(failure);
+}
+
+template <typename E>
+Result<void> ParseName(const std::string& flag, const std::string& text,
+                       E& target) {
+  const auto value = ParseEnum<E>(text);
+  if (!value) {
+    return Fail(Errc::kInvalidSetting, flag + " " + text, NamesOf<E>(),
+                "choose one of these");
+  }
+  target = *value;
+  return {};
+}
+
+Result<void> SettingsParser::Resolve() {
+  const std::pair<const char*, std::pair<std::string*, Address*>> addresses[] =
+      {{"--peer-address", {&raw_.peer_address, &settings_.kernel.self}},
+       {"--callers", {&raw_.callers, &settings_.driver.callers}},
+       {"--operators", {&raw_.operators, &settings_.driver.operators}},
+       {"--backend-server", {&raw_.backend_server, &settings_.kernel.backend}}};
+  for (const auto& [flag, item] : addresses) {
+    const auto address = ParseAddress(flag, *item.first);
+    if (!address) return tl::unexpected(address.error());
+    *item.second = *address;
+  }
+  for (const std::string& text : raw_.peers) {
+    const auto address = ParseAddress("--peer", text);
+    if (!address) return tl::unexpected(address.error());
+    settings_.kernel.peers.push_back(*address);
+  }
+  if (!IsName(settings_.kernel.data_centre)) {
+    return Fail(Errc::kInvalidSetting,
+                "--data-centre " + settings_.kernel.data_centre,
+                "1 to 64 of a-z A-Z 0-9 - _ .", "correct the name");
+  }
+  if (raw_.platform != kMemoryPlatform) {
+    if (!raw_.platform.starts_with(kHttpPlatform)) {
+      return Fail(Errc::kInvalidSetting, "--platform " + raw_.platform,
+                  "memory: or http://IP:PORT", "correct the address");
+    }
+    const auto address =
+        ParseAddress("--platform", raw_.platform.substr(kHttpPlatform.size()));
+    if (!address) return tl::unexpected(address.error());
+    settings_.platform = *address;
+  }
+  settings_.fd_limit = static_cast<int>(fd_limit_);
+  settings_.driver.limits.body_bytes = body_limit_;
+  settings_.driver.limits.connections = connection_limit_;
+  settings_.kernel.seed = std::random_device{}();
+  Result<void> named =
+      ParseName("--spreading", raw_.spreading, settings_.kernel.spreading);
+  if (named) {
+    named = ParseName("--log-format", raw_.log_format, settings_.log_format);
+  }
+  if (named) {
+    named = ParseName("--log-level", raw_.log_level, settings_.log_level);
+  }
+  return named;
+}
+
+ParsedSettings SettingsParser::Parse(int argc, char** argv) {
+  try {
+    app_.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    if (error.get_exit_code() == 0) {
+      app_.exit(error);
+      return {{}, true, 0};
+    }
+    const Failure failure{Errc::kInvalidSetting, error.what(),
+                          "flags and values as --help lists them",
+                          "run buckthorncartd --help"};
+    std::cerr << "buckthorncartd: " << failure.Describe() << '\n';
+    return {{}, true, kUsageStatus};
+  }
+  const Result<void> resolved = Resolve();
+  if (!resolved) {
+    std::cerr << "buckthorncartd: " << resolved.error().Describe() << '\n';
+    return {{}, true, kUsageStatus};
+  }
+  return {settings_, false, 0};
+}
+
+}  // namespace
+
+ParsedSettings ParseDaemonSettings(int argc, char** argv) {
+  return SettingsParser().Parse(argc, argv);
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Kernel/effect.h
@@ -0,0 +1,118 @@
+#pragma once
+/// \file
+/// Everything that the kernel can ask of its driver.
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "Base/address.h"
+#include "Base/time.h"
+#include "Kernel/event.h"
+#include "Platform/platform_messages.h"
+#include "Wire/datagrams.h"
+#include "Wire/http.h"
+#include "Wire/peer_messages.h"
+
+namespace buckthorncart {
+
+/// Sends on the connection to `to`, which is opened when there is none.
+struct SendPeer {
+  Address to;
+  PeerMessage message;
+};
+
+/// Closes the connection to `peer`; the next message opens a new one.
+struct ResetPeer {
+  Address peer;
+};
+
+struct SendDatagram {
+  Address to;
+  Datagram message;
+};
+
+/// Timers cannot be cancelled; their owners ignore those out of date.
+struct SetTimer {
+  Time at;
+  TimerKind kind = TimerKind::kTick;
+  uint64_t argument = 0;
+};
+
+struct CallPlatform {
+  uint64_t tag = 0;
+  PlatformRequest request;
+};
+
+struct AnswerCaller {
+  uint64_t call = 0;
+  AnswerPart part;
+  /// Closes the caller's connection after the answer.
+  bool close = false;
+};
+
+struct CallBackend {
+  uint64_t run = 0;
+  Address backend;
+  HttpRequest request;
+  /// False keeps the request off connections that other requests have used.
+  bool repeatable = true;
+};
+
+/// Closes the connection that `run` uses.
+struct CancelBackend {
+  uint64_t run = 0;
+};
+
+struct AnswerOperator {
+  uint64_t request = 0;
+  uint16_t status = 200;
+  std::string content_type;
+  std::string body;
+};
+
+/// Changes of state that are logged.
+enum class LogTopic : uint8_t {
+  kStarted,
+  kFloorKnown,
+  kVersionHeld,
+  kVersionHeldBack,
+  kMemberStatus,
+  kBackendState,
+  kPlatformState,
+  kOperation,
+  kFrozen,
+  kDraining,
+  kDrained,
+  kCrashGuard,
+  kPeerFault,
+  kEjected,
+};
+
+template <>
+struct EnumNames<LogTopic> {
+  static constexpr std::string_view kNames[] = {
+      "started",       "floor-known",   "version-held",   "version-held-back",
+      "member-status", "backend-state", "platform-state", "operation",
+      "frozen",        "draining",      "drained",        "crash-guard",
+      "peer-fault",    "ejected"};
+};
+
+enum class LogLevel : uint8_t { kInfo, kWarning };
+
+struct LogChange {
+  LogTopic topic = LogTopic::kStarted;
+  std::vector<std::pair<std::string, std::string>> fields;
+  LogLevel level = LogLevel::kInfo;
+};
+
+/// Ends the process with exit status 0.
+struct Exit {};
+
+using Effect = std::variant<SendPeer, ResetPeer, SendDatagram, SetTimer,
+                            CallPlatform, AnswerCaller, CallBackend,
+                            CancelBackend, AnswerOperator, LogChange, Exit>;
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Kernel/event.h
@@ -0,0 +1,184 @@
+#pragma once
+/// \file
+/// Everything that can happen to the kernel.
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <variant>
+
+#include "Base/address.h"
+#include "Base/time.h"
+#include "Platform/platform_messages.h"
+#include "Wire/datagrams.h"
+#include "Wire/http.h"
+#include "Wire/peer_messages.h"
+#include "Wire/variant_adaptor.h"
+
+namespace buckthorncart {
+
+/// Owners and purposes of timers.
+enum class TimerKind : uint8_t {
+  kTick,
+  kProbe,
+  kProbeTimeout,
+  kProbePeriodEnd,
+  kSuspicion,
+  kRejoin,
+  kHeadRead,
+  kConfigurationRetry,
+  kStartRetry,
+  kPullTimeout,
+  kAcceptance,
+  kAcceptanceRetry,
+  kHoldersTimeout,
+  kPlatformTimeout,
+  kCallDeadline,
+  kCallRetry,
+  kQueueDeadline,
+  kBackendHeartbeat,
+  kSlowStart,
+  kClaimBatch,
+  kClaimTimeout,
+  kClaimRetry,
+  kCrashGuard,
+  kPeerPing,
+  kOutcomeQuery,
+  kQueryTimeout,
+  kInForceWait,
+  kDrain,
+  kBurn,
+  kSnapshotUpload,
+};
+
+/// The process has started; `wall_ms` is milliseconds since the epoch.
+struct Started {
+  uint64_t wall_ms = 0;
+  MSGPACK_DEFINE(wall_ms)
+};
+
+struct TimerFired {
+  TimerKind kind = TimerKind::kTick;
+  uint64_t argument = 0;
+  MSGPACK_DEFINE(kind, argument)
+};
+
+struct PeerMessageReceived {
+  Address from;
+  PeerMessage message;
+  MSGPACK_DEFINE(from, message)
+};
+
+/// The connection to `peer` has been closed or could not be opened. Messages
+/// sent on it may or may not have arrived.
+struct PeerConnectionLost {
+  Address peer;
+  MSGPACK_DEFINE(peer)
+};
+
+struct DatagramReceived {
+  Address from;
+  Datagram message;
+  MSGPACK_DEFINE(from, message)
+};
+
+struct PlatformReplied {
+  uint64_t tag = 0;
+  PlatformReply reply;
+  MSGPACK_DEFINE(tag, reply)
+};
+
+/// A whole request of a caller has been read.
+struct CallerRequested {
+  uint64_t call = 0;
+  HttpRequest request;
+  MSGPACK_DEFINE(call, request)
+};
+
+/// The caller's connection has closed before its answer was complete.
+struct CallerLeft {
+  uint64_t call = 0;
+  MSGPACK_DEFINE(call)
+};
+
+/// What is known of a request to the backend server when it fails.
+enum class BackendFault : uint8_t {
+  kNone,
+  /// No connection could be opened, so that the request was not run.
+  kNotConnected,
+  /// The connection broke; the request may have run.
+  kConnectionBroken,
+};
+
+struct BackendAnswered {
+  uint64_t run = 0;
+  AnswerPart part;
+  BackendFault fault = BackendFault::kNone;
+  MSGPACK_DEFINE(run, part, fault)
+};
+
+/// A request on the operators' listener, from an operator or from the backend
+/// server beside the daemon.
+struct OperatorRequested {
+  uint64_t request = 0;
+  HttpRequest http;
+  MSGPACK_DEFINE(request, http)
+};
+
+struct OperatorLeft {
+  uint64_t request = 0;
+  MSGPACK_DEFINE(request)
+};
+
+/// The process has been asked to end gracefully.
+struct ShutdownRequested {
+  MSGPACK_DEFINE()
+};
+
+// Raised by plug-ins for one another; never recorded in a trace.
+
+/// A newer configuration is held.
+struct ConfigurationAdopted {
+  uint64_t version = 0;
+  MSGPACK_DEFINE(version)
+};
+
+/// The row `head` has been read; `row` is its encoded value.
+struct HeadObserved {
+  std::string row;
+  MSGPACK_DEFINE(row)
+};
+
+/// The record of a member has changed.
+struct MemberChanged {
+  Address address;
+  MSGPACK_DEFINE(address)
+};
+
+/// The backend server beside the daemon has announced a new state.
+struct LocalBackendChanged {
+  BackendAnnouncement backend;
+  MSGPACK_DEFINE(backend)
+};
+
+/// The loop did not run for longer than the peer timeout.
+struct LoopFrozen {
+  uint64_t frozen_us = 0;
+  MSGPACK_DEFINE(frozen_us)
+};
+
+/// The daemon has begun to leave.
+struct DrainStarted {
+  MSGPACK_DEFINE()
+};
+
+using Event =
+    std::variant<Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
+                 DatagramReceived, PlatformReplied, CallerRequested, CallerLeft,
+                 BackendAnswered, OperatorRequested, OperatorLeft,
+                 ShutdownRequested, ConfigurationAdopted, HeadObserved,
+                 MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted>;
+
+}  // namespace buckthorncart
+
+MSGPACK_ADD_ENUM(buckthorncart::TimerKind)
+MSGPACK_ADD_ENUM(buckthorncart::BackendFault)
--- /dev/null
+++ b/Source/Kernel/kernel_settings.h
@@ -0,0 +1,83 @@
+#pragma once
+/// \file
+/// Settings of the kernel. Every field has a flag of `buckthorncartd`.
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+#include "Base/address.h"
+#include "Base/enum_names.h"
+
+namespace buckthorncart {
+
+/// How a new version spreads to other daemons.
+enum class Spreading : uint8_t {
+  /// Changes are sent unasked to every chosen peer.
+  kPush,
+  /// Chosen peers are told the version and pull the changes.
+  kHint,
+  /// Changes are pushed across data centres and hinted within one.
+  kMixed,
+};
+
+template <>
+struct EnumNames<Spreading> {
+  static constexpr std::string_view kNames[] = {"push", "hint", "mixed"};
+};
+
+struct KernelSettings {
+  /// Address of this daemon for other daemons, TCP and UDP.
+  Address self;
+  std::string data_centre;
+  /// Daemons asked at the start, beside those that the platform lists.
+  std::vector<Address> peers;
+  /// Address of the backend server beside this daemon.
+  Address backend;
+  /// Seed of the kernel's random numbers.
+  uint64_t seed = 1;
+
+  // Configuration.
+  Spreading spreading = Spreading::kMixed;
+  uint32_t spreading_fanout = 3;
+  /// Longest wait of an accepted change for holders in other data centres.
+  uint32_t holders_timeout_ms = 1'500;
+  /// Longest time until an operator hears `undecided`.
+  uint32_t decision_timeout_ms = 10'000;
+  uint32_t head_read_interval_ms = 2'000;
+  /// Snapshots are uploaded every so many versions.
+  uint32_t snapshot_every = 64;
+
+  // Membership.
+  uint32_t probe_period_ms = 1'000;
+  uint32_t probe_timeout_ms = 300;
+  uint32_t suspicion_ms = 4'000;
+  /// Silence after which a peer is taken as lost and a frozen loop restarts.
+  uint32_t peer_timeout_ms = 3'000;
+
+  // Requests.
+  uint32_t queue_limit = 64;
+  uint32_t max_attempts = 3;
+  /// Retries allowed for each hundred calls.
+  uint32_t retry_budget_percent = 10;
+  uint32_t backend_timeout_ms = 3'000;
+  uint32_t slow_start_ms = 2'000;
+
+  // Platform.
+  uint32_t platform_timeout_ms = 1'000;
+  uint32_t platform_queue_limit = 1'024;
+  uint32_t platform_concurrency = 8;
+
+  MSGPACK_DEFINE(self, data_centre, peers, backend, seed, spreading,
+                 spreading_fanout, holders_timeout_ms, decision_timeout_ms,
+                 head_read_interval_ms, snapshot_every, probe_period_ms,
+                 probe_timeout_ms, suspicion_ms, peer_timeout_ms, queue_limit,
+                 max_attempts, retry_budget_percent, backend_timeout_ms,
+                 slow_start_ms, platform_timeout_ms, platform_queue_limit,
+                 platform_concurrency)
+};
+
+}  // namespace buckthorncart
+
+MSGPACK_ADD_ENUM(buckthorncart::Spreading)
--- /dev/null
+++ b/Source/Kernel/metrics.h
@@ -0,0 +1,41 @@
+#pragma once
+/// \file
+/// Registry of everything that the daemon counts.
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace buckthorncart {
+
+/// A family of counters that only grow.
+class CounterSource {
+ public:
+  virtual ~CounterSource() = default;
+  virtual size_t CounterCount() const = 0;
+  /// Name without the `buckthorncart_` prefix; ends in `_total`.
+  virtual std::string_view CounterName(size_t n) const = 0;
+  virtual uint64_t CounterValue(size_t n) const = 0;
+};
+
+/// Collects counter families and gauges; writes the Prometheus text format.
+class Metrics {
+ public:
+  void Add(const CounterSource* source) { sources_.push_back(source); }
+  /// `read` is called when the page is written.
+  void AddGauge(std::string name, std::function<double()> read) {
+    gauges_.emplace_back(std::move(name), std::move(read));
+  }
+  std::string PrometheusText() const;
+  /// Value of the counter called `name`, 0 when there is none.
+  uint64_t CounterByName(std::string_view name) const;
+
+ private:
+  std::vector<const CounterSource*> sources_;
+  std::vector<std::pair<std::string, std::function<double()>>> gauges_;
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Kernel/platform_queue.h
@@ -0,0 +1,28 @@
+#pragma once
+/// \file
+/// The way of all plug-ins to the platform.
+
+#include <cstdint>
+#include <optional>
+
+#include "Platform/platform_messages.h"
+
+namespace buckthorncart {
+
+class Context;
+
+/// Lower values go first.
+enum class PlatformPriority : uint8_t { kOperator, kClaim, kRefresh };
+
+class PlatformQueue {
+ public:
+  virtual ~PlatformQueue() = default;
+  /// Queues `request`. `PlatformReplied` with the returned tag follows within
+  /// the platform timeout; its status is `kUnknown` when no reply came.
+  /// Returns nothing when the queue is full: the request is not carried out.
+  virtual std::optional<uint64_t> Submit(Context& ctx,
+                                         PlatformPriority priority,
+                                         PlatformRequest request) = 0;
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Kernel/plugin_registry.h
@@ -0,0 +1,54 @@
+#pragma once
+/// \file
+/// Registry in which plug-ins enter themselves before `main` starts.
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "Kernel/kernel_settings.h"
+#include "Kernel/plugin.h"
+
+namespace buckthorncart {
+
+/// Order in which plug-ins see an event.
+enum class PluginRank : uint8_t {
+  kPlatformQueue,
+  kMembership,
+  kConfiguration,
+  kAcceptance,
+  kCrashGuard,
+  kClaims,
+  kAdmission,
+  kReceiving,
+  kDrain,
+  kBurn,
+  kOperators,
+};
+
+class PluginRegistry {
+ public:
+  using Factory = std::function<std::unique_ptr<Plugin>(const KernelSettings&)>;
+
+  static PluginRegistry& Instance();
+  void Add(PluginRank rank, Factory factory);
+  /// New plug-ins of every kind, by rank.
+  std::vector<std::unique_ptr<Plugin>> CreateAll(
+      const KernelSettings& settings) const;
+
+ private:
+  struct Entry {
+    PluginRank rank;
+    Factory factory;
+  };
+  std::vector<Entry> entries_;
+};
+
+/// A namespace-scope object of this type registers a plug-in.
+class PluginRegistration {
+ public:
+  PluginRegistration(PluginRank rank, PluginRegistry::Factory factory);
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Net/http_platform.cc
@@ -0,0 +1,65 @@
+#include "Net/http_platform.h"
+
+#include <utility>
+
+#include "Wire/codec.h"
+
+namespace buckthorncart {
+namespace {
+
+constexpr uint16_t kHttpOk = 200;
+constexpr uint16_t kHttpUnavailable = 503;
+
+/// A refusal of the platform is certain; every other failure after sending
+/// leaves open whether the request was carried out.
+PlatformReply ReplyOf(uint16_t status, const std::string& body,
+                      BackendFault fault) {
+  if (fault == BackendFault::kNotConnected) {
+    return {PlatformStatus::kUnavailable, {}, {}};
+  }
+  if (fault != BackendFault::kNone) return {PlatformStatus::kUnknown, {}, {}};
+  if (status == kHttpUnavailable) {
+    return {PlatformStatus::kUnavailable, {}, {}};
+  }
+  if (status != kHttpOk) return {PlatformStatus::kUnknown, {}, {}};
+  auto reply = Decode<PlatformReply>(body);
+  if (!reply) return {PlatformStatus::kUnknown, {}, {}};
+  return std::move(*reply);
+}
+
+}  // namespace
+
+HttpPlatform::HttpPlatform(Loop& loop, Address address,
+                           PlatformReplyHandler handler)
+    : loop_(loop),
+      address_(address),
+      handler_(std::move(handler)),
+      client_(loop, [this](uint64_t tag, const AnswerPart& part,
+                           BackendFault fault) { OnPart(tag, part, fault); }) {}
+
+Result<void> HttpPlatform::Open() { return client_.Open("platform"); }
+
+void HttpPlatform::Submit(uint64_t tag, const PlatformRequest& request) {
+  pending_[tag] = {};
+  HttpRequest http;
+  http.method = "POST";
+  http.path = "/v1/platform";
+  http.headers = {{"content-type", "application/msgpack"}};
+  http.body = Encode(request);
+  client_.Send(tag, address_, std::move(http));
+}
+
+void HttpPlatform::OnPart(uint64_t tag, const AnswerPart& part,
+                          BackendFault fault) {
+  const auto it = pending_.find(tag);
+  if (it == pending_.end()) return;
+  if (part.IsHead()) it->second.status = part.status;
+  it->second.body += part.body;
+  if (part.end == AnswerEnd::kMore) return;
+  PlatformReply reply = ReplyOf(it->second.status, it->second.body, fault);
+  pending_.erase(it);
+  loop_.RunIn(Duration::zero(),
+              [this, tag, reply = std::move(reply)] { handler_(tag, reply); });
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Net/log_sink.cc
@@ -0,0 +1,72 @@
+#include "Net/log_sink.h"
+
+#include <easylogging++.h>
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "Net/loop.h"
+
+// NOLINTNEXTLINE
+INITIALIZE_EASYLOGGINGPP
+
+namespace buckthorncart {
+namespace {
+
+/// Sends the lines of the logging library to standard error.
+class StandardErrorDispatch : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) noexcept override {  // NOLINT
+    std::cerr << data->logMessage()->message() << '\n';
+  }
+};
+
+std::string Quoted(const std::string& value) {
+  const bool plain =
+      !value.empty() && value.find_first_of(" =\"\n") == std::string::npos;
+  return plain ? value : nlohmann::json(value).dump();
+}
+
+}  // namespace
+
+LogSink::LogSink(LogFormat format, LogLevel lowest)
+    : format_(format), lowest_(lowest) {
+  el::Configurations configurations;
+  configurations.setToDefault();
+  configurations.setGlobally(el::ConfigurationType::ToFile, "false");
+  configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+  el::Loggers::reconfigureAllLoggers(configurations);
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<StandardErrorDispatch>(
+      "StandardErrorDispatch");
+}
+
+void LogSink::Write(const LogChange& change) const {
+  if (change.level < lowest_) return;
+  const std::string line = FormatLine(change);
+  if (change.level == LogLevel::kWarning) {
+    LOG(WARNING) << line;
+  } else {
+    LOG(INFO) << line;
+  }
+}
+
+std::string LogSink::FormatLine(const LogChange& change) const {
+  const std::string time = std::to_string(Loop::WallMilliseconds());
+  const std::string level(NameOf(change.level));
+  const std::string topic(NameOf(change.topic));
+  if (format_ == LogFormat::kJson) {
+    nlohmann::ordered_json line = {
+        {"time_ms", time}, {"level", level}, {"change", topic}};
+    for (const auto& [key, value] : change.fields) line[key] = value;
+    return line.dump();
+  }
+  std::string line = "time_ms=" + time + " level=" + level + " change=" + topic;
+  for (const auto& [key, value] : change.fields) {
+    line += " " + key + "=" + Quoted(value);
+  }
+  return line;
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Net/loop_driver.cc
@@ -0,0 +1,197 @@
+#include "Net/loop_driver.h"
+
+#include <functional>
+#include <utility>
+
+#include "Kernel/failure_json.h"
+#include "Plugins/call_failure.h"
+#include "Wire/codec.h"
+
+namespace buckthorncart {
+
+class LoopDriver::ServerEvents : public HttpServerHandler {
+ public:
+  using MakeRequest = std::function<Event(uint64_t id, HttpRequest request)>;
+  using MakeLeft = std::function<Event(uint64_t id)>;
+
+  ServerEvents(LoopDriver& driver, MakeRequest make_request, MakeLeft make_left)
+      : driver_(driver),
+        make_request_(std::move(make_request)),
+        make_left_(std::move(make_left)) {}
+
+  void OnRequest(uint64_t id, HttpRequest request) override {
+    driver_.Dispatch(make_request_(id, std::move(request)));
+  }
+  void OnLeft(uint64_t id) override { driver_.Dispatch(make_left_(id)); }
+  AnswerPart BodyTooLarge() override {
+    return MakeFailureAnswer(Errc::kBodyTooLarge, Outcome::kNotRun);
+  }
+  AnswerPart LengthRequired() override {
+    constexpr uint16_t kLengthRequired = 411;
+    AnswerPart part =
+        MakeFailureAnswer(Errc::kMalformedFrame, Outcome::kNotRun);
+    part.status = kLengthRequired;
+    return part;
+  }
+
+ private:
+  LoopDriver& driver_;
+  MakeRequest make_request_;
+  MakeLeft make_left_;
+};
+
+LoopDriver::LoopDriver(Loop& loop, const DriverSettings& settings,
+                       Kernel& kernel, uint64_t wall_ms, const LogSink& log)
+    : loop_(loop),
+      settings_(settings),
+      kernel_(kernel),
+      wall_ms_(wall_ms),
+      log_(log),
+      peers_(loop, kernel.GetContext().Settings().self, wall_ms, *this),
+      datagrams_(loop,
+                 [this](Address from, std::string_view bytes) {
+                   OnDatagram(from, bytes);
+                 }),
+      caller_events_(std::make_unique<ServerEvents>(
+          *this,
+          [](uint64_t id, HttpRequest request) -> Event {
+            return CallerRequested{id, std::move(request)};
+          },
+          [](uint64_t id) -> Event { return CallerLeft{id}; })),
+      operator_events_(std::make_unique<ServerEvents>(
+          *this,
+          [](uint64_t id, HttpRequest request) -> Event {
+            return OperatorRequested{id, std::move(request)};
+          },
+          [](uint64_t id) -> Event { return OperatorLeft{id}; })),
+      callers_(loop, settings.limits, *caller_events_),
+      operators_(loop, settings.limits, *operator_events_),
+      backend_(loop, [this](uint64_t run, AnswerPart part, BackendFault fault) {
+        Dispatch(BackendAnswered{run, std::move(part), fault});
+      }) {
+  AddGauges();
+}
+
+LoopDriver::~LoopDriver() = default;
+
+void LoopDriver::AddGauges() {
+  Metrics& metrics = kernel_.GetContext().AllMetrics();
+  const auto add = [&metrics](const char* name,
+                              std::function<uint64_t()> read) {
+    metrics.AddGauge(
+        name, [read = std::move(read)] { return static_cast<double>(read()); });
+  };
+  add("peer_connections", [this] { return peers_.ConnectionCount(); });
+  add("peer_sent_bytes", [this] { return peers_.SentBytes(); });
+  add("peer_received_bytes", [this] { return peers_.ReceivedBytes(); });
+  add("control_sent_bytes",
+      [this] { return peers_.ControlSentBytes() + datagrams_.SentBytes(); });
+  add("datagram_sent_bytes", [this] { return datagrams_.SentBytes(); });
+  add("datagram_received_bytes", [this] { return datagrams_.ReceivedBytes(); });
+  add("bad_frames", [this] { return bad_frames_; });
+}
+
+void LoopDriver::UsePlatform(PlatformSubmit platform) {
+  platform_ = std::move(platform);
+}
+
+void LoopDriver::RecordTo(TraceWriter trace) { trace_ = std::move(trace); }
+
+Result<void> LoopDriver::Open() {
+  const Address self = kernel_.GetContext().Settings().self;
+  Result<void> opened = peers_.Listen();
+  if (opened) opened = datagrams_.Bind(self);
+  if (opened) opened = callers_.Listen("callers", settings_.callers);
+  if (opened) opened = operators_.Listen("operators", settings_.operators);
+  if (opened) opened = backend_.Open("backend-server");
+  return opened;
+}
+
+void LoopDriver::Start() { Dispatch(Started{wall_ms_}); }
+
+void LoopDriver::Dispatch(Event event) {
+  if (loop_.IsClosing()) return;
+  pending_.push_back(std::move(event));
+  if (std::exchange(dispatching_, true)) return;
+  while (!pending_.empty()) {
+    const Event next = std::move(pending_.front());
+    pending_.pop_front();
+    const Time now = Loop::Now();
+    std::vector<Effect> effects = kernel_.Handle(now, next);
+    if (trace_) trace_->Append(now, next, effects);
+    for (Effect& effect : effects) {
+      std::visit([this](auto& one) { Carry(std::move(one)); }, effect);
+    }
+  }
+  dispatching_ = false;
+}
+
+void LoopDriver::OnMessage(Address from, PeerMessage message) {
+  Dispatch(PeerMessageReceived{from, std::move(message)});
+}
+
+void LoopDriver::OnLost(Address peer) { Dispatch(PeerConnectionLost{peer}); }
+
+void LoopDriver::OnBadFrame(Address peer, Errc reason) {
+  ++bad_frames_;
+  log_.Write({LogTopic::kPeerFault,
+              {{"peer", peer.IsSet() ? peer.ToString() : "unknown"},
+               {"reason", std::string(NameOf(reason))}},
+              LogLevel::kWarning});
+}
+
+void LoopDriver::OnDatagram(Address from, std::string_view bytes) {
+  auto message = Decode<Datagram>(bytes);
+  if (!message) {
+    OnBadFrame(from, message.error().code);
+    return;
+  }
+  Dispatch(DatagramReceived{from, std::move(*message)});
+}
+
+void LoopDriver::Carry(const SendPeer& effect) {
+  peers_.Send(effect.to, effect.message);
+}
+
+void LoopDriver::Carry(const ResetPeer& effect) { peers_.Reset(effect.peer); }
+
+void LoopDriver::Carry(const SendDatagram& effect) {
+  datagrams_.Send(effect.to, Encode(effect.message));
+}
+
+void LoopDriver::Carry(const SetTimer& effect) {
+  loop_.RunAt(effect.at, [this, kind = effect.kind, n = effect.argument] {
+    Dispatch(TimerFired{kind, n});
+  });
+}
+
+void LoopDriver::Carry(CallPlatform effect) {
+  platform_(effect.tag, std::move(effect.request));
+}
+
+void LoopDriver::Carry(AnswerCaller effect) {
+  callers_.Answer(effect.call, std::move(effect.part), effect.close);
+}
+
+void LoopDriver::Carry(CallBackend effect) {
+  backend_.Send(effect.run, effect.backend, std::move(effect.request));
+}
+
+void LoopDriver::Carry(const CancelBackend& effect) {
+  backend_.Cancel(effect.run);
+}
+
+void LoopDriver::Carry(AnswerOperator effect) {
+  AnswerPart part;
+  part.status = effect.status;
+  part.headers = {{"content-type", std::move(effect.content_type)}};
+  part.body = std::move(effect.body);
+  part.end = AnswerEnd::kComplete;
+  operators_.Answer(effect.request, std::move(part), false);
+}
+
+void LoopDriver::Carry(const LogChange& effect) { log_.Write(effect); }
+
+void LoopDriver::Carry(const Exit& /*effect*/) { loop_.Stop(); }
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Net/loop_driver.h
@@ -0,0 +1,91 @@
+#pragma once
+/// \file
+/// Feeds a kernel from sockets and clocks and carries out its effects.
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Base/address.h"
+#include "Base/result.h"
+#include "Kernel/effect.h"
+#include "Kernel/event.h"
+#include "Kernel/kernel.h"
+#include "Kernel/trace.h"
+#include "Net/datagram_socket.h"
+#include "Net/http_client.h"
+#include "Net/http_server.h"
+#include "Net/log_sink.h"
+#include "Net/loop.h"
+#include "Net/peer_transport.h"
+#include "Platform/platform_adapter.h"
+
+namespace buckthorncart {
+
+struct DriverSettings {
+  Address callers;
+  Address operators;
+  HttpServerLimits limits;
+};
+
+class LoopDriver : private PeerTransportHandler {
+ public:
+  /// All references must outlive the driver. `wall_ms` becomes the daemon's
+  /// incarnation.
+  LoopDriver(Loop& loop, const DriverSettings& settings, Kernel& kernel,
+             uint64_t wall_ms, const LogSink& log);
+  ~LoopDriver() override;
+
+  void UsePlatform(PlatformSubmit platform);
+  void RecordTo(TraceWriter trace);
+  /// Opens all listeners; fails with `kAddressInUse`.
+  Result<void> Open();
+  /// Hands the first event to the kernel.
+  void Start();
+  /// Hands an event to the kernel and carries out what it asks for.
+  void Dispatch(Event event);
+
+ private:
+  /// Turns what happens on one HTTP server into events.
+  class ServerEvents;
+
+  void OnMessage(Address from, PeerMessage message) override;
+  void OnLost(Address peer) override;
+  void OnBadFrame(Address peer, Errc reason) override;
+  void OnDatagram(Address from, std::string_view bytes);
+
+  void Carry(const SendPeer& effect);
+  void Carry(const ResetPeer& effect);
+  void Carry(const SendDatagram& effect);
+  void Carry(const SetTimer& effect);
+  void Carry(CallPlatform effect);
+  void Carry(AnswerCaller effect);
+  void Carry(CallBackend effect);
+  void Carry(const CancelBackend& effect);
+  void Carry(AnswerOperator effect);
+  void Carry(const LogChange& effect);
+  void Carry(const Exit& effect);
+  void AddGauges();
+
+  Loop& loop_;
+  DriverSettings settings_;
+  Kernel& kernel_;
+  uint64_t wall_ms_;
+  const LogSink& log_;
+  PlatformSubmit platform_;
+  std::optional<TraceWriter> trace_;
+  PeerTransport peers_;
+  DatagramSocket datagrams_;
+  std::unique_ptr<ServerEvents> caller_events_;
+  std::unique_ptr<ServerEvents> operator_events_;
+  HttpServer callers_;
+  HttpServer operators_;
+  HttpClient backend_;
+  std::deque<Event> pending_;
+  bool dispatching_ = false;
+  uint64_t bad_frames_ = 0;
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Net/memory_platform.h
@@ -0,0 +1,24 @@
+#pragma once
+/// \file
+/// Platform inside the process: the embedded default for one machine.
+
+#include <cstdint>
+
+#include "Net/loop.h"
+#include "Platform/memory_table.h"
+#include "Platform/platform_adapter.h"
+
+namespace buckthorncart {
+
+class MemoryPlatform {
+ public:
+  MemoryPlatform(Loop& loop, PlatformReplyHandler handler);
+  void Submit(uint64_t tag, const PlatformRequest& request);
+
+ private:
+  Loop& loop_;
+  PlatformReplyHandler handler_;
+  MemoryTable table_;
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Platform/memory_table.h
@@ -0,0 +1,30 @@
+#pragma once
+/// \file
+/// Table and object store in memory.
+
+#include <map>
+#include <string>
+
+#include "Platform/platform_messages.h"
+
+namespace buckthorncart {
+
+/// Serves the embedded platform and the platform stand-in.
+class MemoryTable {
+ public:
+  PlatformReply Apply(const PlatformRequest& request);
+  size_t RowCount() const { return rows_.size(); }
+
+ private:
+  PlatformReply ApplyOne(const Transaction& transaction);
+  PlatformReply ApplyOne(const ReadRows& read) const;
+  PlatformReply ApplyOne(const ScanRows& scan) const;
+  PlatformReply ApplyOne(const PutObject& put);
+  PlatformReply ApplyOne(const GetObject& get) const;
+  bool Holds(const Condition& condition) const;
+
+  std::map<std::string, std::string> rows_;
+  std::map<std::string, std::string> objects_;
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Plugins/admission.h
@@ -0,0 +1,87 @@
+#pragma once
+/// \file
+/// Admits requests to the backend server beside this daemon.
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "Base/address.h"
+#include "Base/error.h"
+#include "Base/time.h"
+#include "Kernel/counters.h"
+#include "Kernel/plugin.h"
+#include "Wire/member.h"
+#include "Wire/peer_messages.h"
+
+namespace buckthorncart {
+
+enum class AdmissionCounter : uint8_t {
+  kRuns,
+  kRefused,
+  kQueued,
+  kExpiredInQueue,
+  kCompleted,
+  kBroken,
+  kCancelled,
+};
+
+template <>
+struct EnumNames<AdmissionCounter> {
+  static constexpr std::string_view kNames[] = {
+      "admission_runs_total",      "admission_refused_total",
+      "admission_queued_total",    "admission_expired_in_queue_total",
+      "admission_completed_total", "admission_broken_total",
+      "admission_cancelled_total"};
+};
+
+/// Knows the slots, the drain and the connections of the backend server
+/// exactly, so that its refusal "not run" is true by construction.
+class Admission : public Plugin {
+ public:
+  void Attach(Context& ctx) override;
+  void Handle(Context& ctx, const Event& event) override;
+  bool HandleOperator(Context& ctx, const OperatorRequested& request) override;
+
+ private:
+  /// The daemon that sent a call, and the call's id there.
+  using CallKey = std::pair<Address, uint64_t>;
+  struct Run {
+    CallKey key;
+    Call call;
+    Time deadline{};
+    bool started = false;
+    bool head_sent = false;
+  };
+  static constexpr size_t kClasses = 2;
+
+  void HandleCall(Context& ctx, Address from, const Call& call);
+  void HandleCancel(Context& ctx, Address from, uint64_t id);
+  void HandleAnswer(Context& ctx, const BackendAnswered& answered);
+  void HandlePeerLost(Context& ctx, Address peer);
+  void HandleDeadline(Context& ctx, uint64_t number);
+  void HandleAnnouncement(Context& ctx, const OperatorRequested& request);
+  void SetBackend(Context& ctx, BackendAnnouncement backend);
+  Errc ReasonToRefuse(Context& ctx, const Call& call) const;
+  void StartQueued(Context& ctx);
+  void StartRun(Context& ctx, uint64_t number);
+  void EndRun(Context& ctx, uint64_t number);
+  void Refuse(Context& ctx, const CallKey& key, Errc reason);
+  uint32_t LoadPerMille() const;
+  size_t QueueLength() const;
+
+  BackendAnnouncement backend_;
+  Time last_announcement_{};
+  std::map<uint64_t, Run> runs_;
+  std::map<CallKey, uint64_t> run_of_call_;
+  std::array<std::deque<uint64_t>, kClasses> queues_;
+  uint32_t slots_in_use_ = 0;
+  uint64_t next_run_ = 0;
+  Counters<AdmissionCounter> counters_;
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Plugins/call_failure.cc
@@ -0,0 +1,40 @@
+#include "Plugins/call_failure.h"
+
+#include <nlohmann/json.hpp>
+
+namespace buckthorncart {
+
+uint16_t CallStatusOf(Errc reason, Outcome outcome) {
+  if (outcome == Outcome::kUnknown) return 502;
+  switch (reason) {
+    case Errc::kUnknownRoute:
+      return 404;
+    case Errc::kMissingIdempotencyKey:
+    case Errc::kInvalidDeadline:
+    case Errc::kMalformedFrame:
+      return 400;
+    case Errc::kMethodNotAllowed:
+      return 405;
+    case Errc::kBodyTooLarge:
+      return 413;
+    case Errc::kDeadlineExpired:
+      return 504;
+    default:
+      return 503;
+  }
+}
+
+AnswerPart MakeFailureAnswer(Errc reason, Outcome outcome) {
+  const nlohmann::ordered_json body = {{"error", NameOf(reason)},
+                                       {"outcome", NameOf(outcome)}};
+  AnswerPart part;
+  part.status = CallStatusOf(reason, outcome);
+  part.headers = {{"content-type", "application/json"},
+                  {std::string(header::kOutcome), std::string(NameOf(outcome))},
+                  {std::string(header::kReason), std::string(NameOf(reason))}};
+  part.body = body.dump() + "\n";
+  part.end = AnswerEnd::kComplete;
+  return part;
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Plugins/configuration_holder.h
@@ -0,0 +1,122 @@
+#pragma once
+/// \file
+/// Holds the configuration, spreads it and catches up with it.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Base/address.h"
+#include "Base/time.h"
+#include "Kernel/context.h"
+#include "Kernel/counters.h"
+#include "Kernel/plugin.h"
+#include "Plugins/configuration_rows.h"
+#include "Plugins/configuration_store.h"
+#include "Plugins/spreading_policy.h"
+
+namespace buckthorncart {
+
+enum class ConfigurationCounter : uint8_t {
+  kVersionsTaken,
+  kVersionsHeldBack,
+  kStaleIgnored,
+  kPullsSent,
+  kPullsServed,
+  kSnapshotsServed,
+  kSnapshotsRefused,
+  kHintsSent,
+  kPushesSent,
+  kHeadReads,
+  kPlatformCatchUps,
+};
+
+template <>
+struct EnumNames<ConfigurationCounter> {
+  static constexpr std::string_view kNames[] = {
+      "configuration_versions_taken_total",
+      "configuration_versions_held_back_total",
+      "configuration_stale_ignored_total",
+      "configuration_pulls_sent_total",
+      "configuration_pulls_served_total",
+      "configuration_snapshots_served_total",
+      "configuration_snapshots_refused_total",
+      "configuration_hints_sent_total",
+      "configuration_pushes_sent_total",
+      "configuration_head_reads_total",
+      "configuration_platform_catch_ups_total"};
+};
+
+/// Keeps three promises: versions never go back, a version is taken whole or
+/// not at all, and nothing is served before a floor of versions is known.
+template <SpreadingPolicy Policy, ConfigurationRules Rules>
+class ConfigurationHolder : public Plugin {
+ public:
+  void Attach(Context& ctx) override;
+  void Handle(Context& ctx, const Event& event) override;
+
+ private:
+  /// What is known of the floor while the daemon starts.
+  struct Floor {
+    bool known = false;
+    uint64_t version = 0;
+    /// Highest version that a peer has reported.
+    uint64_t reported = 0;
+    uint32_t reports = 0;
+    bool platform_failed = false;
+    Time since{};
+  };
+
+  void BeginStart(Context& ctx);
+  void AskForFloor(Context& ctx);
+  void HandleFloorReport(Context& ctx, Address from, const FloorReport& report);
+  void DecideFloor(Context& ctx);
+  void SetFloor(Context& ctx, uint64_t version);
+  void UpdateReady(Context& ctx);
+
+  void HandleTimer(Context& ctx, const TimerFired& timer);
+  void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
+  void HandlePlatform(Context& ctx, const PlatformReplied& replied);
+  void HandleHead(Context& ctx, const PlatformReply& reply);
+  void HandleHeadRow(Context& ctx, const std::string& row);
+  void HandleCatchUp(Context& ctx, const PlatformReply& reply);
+
+  void NoteVersion(Context& ctx, Address peer, uint64_t version);
+  void Pull(Context& ctx, Address peer, bool whole);
+  void ServePull(Context& ctx, Address peer, const PullChanges& pull);
+  void TakeChanges(Context& ctx, Address from,
+                   const std::vector<Change>& changes);
+  void TakeSnapshot(Context& ctx, Address from, const Snapshot& snapshot);
+  void Adopt(Context& ctx, Address from);
+  void HoldBack(Context& ctx, uint64_t version, const Failure& failure);
+  void Spread(Context& ctx, Address from);
+  void ReadHead(Context& ctx);
+  bool ReadsHead(Context& ctx) const;
+  void CatchUpFromPlatform(Context& ctx, const HeadRow& head);
+
+  Policy policy_;
+  ConfigurationStore<Rules> store_;
+  Floor floor_;
+  /// Highest version heard from each address.
+  std::map<Address, uint64_t> heard_;
+  /// Peer that is asked for changes, with the time of asking.
+  Address pulling_from_;
+  Time pulling_since_{};
+  std::optional<uint64_t> head_tag_;
+  std::optional<uint64_t> catch_up_tag_;
+  std::optional<uint64_t> snapshot_tag_;
+  HeadRow catch_up_head_;
+  /// Version of the latest known snapshot in the object store; 0 for none.
+  uint64_t latest_snapshot_ = 0;
+  uint32_t snapshots_this_second_ = 0;
+  Counters<ConfigurationCounter> counters_;
+};
+
+}  // namespace buckthorncart
+
+#include "Plugins/configuration_holder_inl.h"
--- /dev/null
+++ b/Source/Plugins/membership.h
@@ -0,0 +1,95 @@
+#pragma once
+/// \file
+/// Failure detection and dissemination of member records.
+///
+/// Follows SWIM (Das, Gupta, Motivala, 2002): each period one member is
+/// probed, a silent one is probed through others, then suspected, then taken
+/// as gone; updates travel on probes. Each daemon sends a constant number of
+/// messages a period, whatever the size of the fleet.
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string_view>
+#include <vector>
+
+#include "Base/address.h"
+#include "Base/time.h"
+#include "Kernel/counters.h"
+#include "Kernel/plugin.h"
+#include "Plugins/update_queue.h"
+#include "Wire/datagrams.h"
+#include "Wire/member.h"
+
+namespace buckthorncart {
+
+struct PlatformReply;
+
+enum class MembershipCounter : uint8_t {
+  kProbes,
+  kProbesUnanswered,
+  kSuspicions,
+  kRefutations,
+  kMembersGone,
+  kFullPulls,
+};
+
+template <>
+struct EnumNames<MembershipCounter> {
+  static constexpr std::string_view kNames[] = {
+      "membership_probes_total",       "membership_probes_unanswered_total",
+      "membership_suspicions_total",   "membership_refutations_total",
+      "membership_members_gone_total", "membership_full_pulls_total"};
+};
+
+class Membership : public Plugin {
+ public:
+  void Attach(Context& ctx) override;
+  void Handle(Context& ctx, const Event& event) override;
+
+ private:
+  /// A probe without an answer yet.
+  struct PendingProbe {
+    Address target;
+    /// Set when the probe is made for another daemon.
+    Address asker;
+    uint64_t asker_sequence = 0;
+  };
+
+  void Start(Context& ctx, uint64_t wall_ms);
+  void HandleTimer(Context& ctx, const TimerFired& timer);
+  void HandleDatagram(Context& ctx, const DatagramReceived& received);
+  void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
+  void HandleScan(Context& ctx, const PlatformReply& reply);
+
+  void AnnounceToPlatform(Context& ctx);
+  void Join(Context& ctx);
+  void ProbeNext(Context& ctx);
+  void SendProbe(Context& ctx, Address target, PendingProbe pending);
+  void ProbeIndirectly(Context& ctx, uint64_t sequence);
+  void EndProbe(Context& ctx, uint64_t sequence);
+  void ExpireSuspects(Context& ctx);
+  void HandleAck(Context& ctx, const ProbeAck& ack);
+  void NoteContact(Context& ctx, Address from);
+  void Merge(Context& ctx, const Member& member);
+  void RefuteIfNeeded(Context& ctx, const Member& rumour);
+  void Store(Context& ctx, const Member& member);
+  void SetStatus(Context& ctx, Address address, MemberStatus status);
+  void UpdateSelf(Context& ctx);
+  void Leave(Context& ctx);
+  Gossip MakeGossip(Context& ctx);
+  std::vector<Member> AllMembers(Context& ctx) const;
+  Address NextTarget(Context& ctx);
+
+  UpdateQueue updates_;
+  std::map<uint64_t, PendingProbe> pending_;
+  std::map<Address, Time> suspected_at_;
+  std::vector<Address> probe_order_;
+  std::set<Address> join_candidates_;
+  uint64_t next_sequence_ = 0;
+  uint64_t scan_tag_ = 0;
+  Time last_pull_{};
+  Counters<MembershipCounter> counters_;
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Plugins/receiving.h
@@ -0,0 +1,110 @@
+#pragma once
+/// \file
+/// Takes callers' requests and sees each of them to an answer.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+#include "Base/address.h"
+#include "Base/error.h"
+#include "Base/time.h"
+#include "Config/snapshot.h"
+#include "Kernel/counters.h"
+#include "Kernel/plugin.h"
+#include "Plugins/backend_choice.h"
+#include "Plugins/ejection.h"
+#include "Plugins/retry_budget.h"
+#include "Wire/http.h"
+#include "Wire/peer_messages.h"
+
+namespace buckthorncart {
+
+enum class ReceivingCounter : uint8_t {
+  kCalls,
+  kAttempts,
+  kAnsweredRan,
+  kAnsweredNotRun,
+  kAnsweredUnknown,
+  kRetries,
+  kCallersLeft,
+  kEjections,
+};
+
+template <>
+struct EnumNames<ReceivingCounter> {
+  static constexpr std::string_view kNames[] = {
+      "calls_total",         "call_attempts_total", "calls_ran_total",
+      "calls_not_run_total", "calls_unknown_total", "call_retries_total",
+      "callers_left_total",  "ejections_total"};
+};
+
+/// Routes a call by the snapshot held when it arrived, hands it to the daemon
+/// beside a backend server and retries it only where that cannot run it
+/// twice: after a refusal "not run", or when the call is repeatable.
+template <BackendChoice Choice>
+class Receiving : public Plugin {
+ public:
+  explicit Receiving(const KernelSettings& settings);
+  void Attach(Context& ctx) override;
+  void Handle(Context& ctx, const Event& event) override;
+
+ private:
+  /// A call without a complete answer.
+  struct Active {
+    uint64_t call = 0;
+    /// Keeps the configuration by which the call was routed.
+    SnapshotPtr snapshot;
+    Route route;
+    HttpRequest request;
+    std::string idempotency_key;
+    uint64_t fingerprint = 0;
+    Time deadline{};
+    uint32_t attempts = 0;
+    Address admitting;
+    std::set<Address> tried;
+    bool head_sent = false;
+  };
+  /// What is known of a peer's backend server.
+  struct PeerLoad {
+    uint32_t in_flight = 0;
+    uint32_t load_per_mille = 0;
+    Time at{};
+    Ejection ejection;
+  };
+
+  void HandleRequest(Context& ctx, const CallerRequested& requested);
+  void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
+  void HandleRefused(Context& ctx, Address from, const CallRefused& refused);
+  void HandleAnswer(Context& ctx, Address from, const CallAnswer& answer);
+  void HandleFailed(Context& ctx, Address from, const CallFailed& failed);
+  void HandlePeerLost(Context& ctx, Address peer);
+  void HandleCallerLeft(Context& ctx, uint64_t call);
+  void HandleDeadline(Context& ctx, uint64_t call);
+
+  void Attempt(Context& ctx, Active& active);
+  void RetryOrAnswer(Context& ctx, Active& active, Errc reason,
+                     Outcome outcome);
+  std::vector<Candidate> Candidates(Context& ctx, const Active& active) const;
+  void AddCandidate(Context& ctx, const Active& active, const Member& member,
+                    std::vector<Candidate>& candidates) const;
+  void NoteFailure(Context& ctx, Address peer);
+  Active* FindFrom(Address from, uint64_t id);
+  void ReleasePeer(const Active& active);
+  void AnswerFailure(Context& ctx, uint64_t call, Errc reason, Outcome outcome);
+  void CountOutcome(Outcome outcome);
+  void Finish(Context& ctx, uint64_t call);
+
+  Choice choice_;
+  RetryBudget retry_budget_;
+  std::map<uint64_t, Active> active_;
+  std::map<Address, PeerLoad> loads_;
+  Counters<ReceivingCounter> counters_;
+};
+
+}  // namespace buckthorncart
+
+#include "Plugins/receiving_inl.h"
--- /dev/null
+++ b/Source/Plugins/update_queue.cc
@@ -0,0 +1,42 @@
+#include "Plugins/update_queue.h"
+
+#include <algorithm>
+#include <bit>
+
+#include "Wire/codec.h"
+
+namespace buckthorncart {
+namespace {
+
+/// Transmissions of a record for each doubling of the fleet.
+constexpr uint32_t kTransmissionsFactor = 3;
+
+}  // namespace
+
+void UpdateQueue::Add(const Member& member, size_t fleet_size) {
+  const auto doublings = static_cast<uint32_t>(std::bit_width(fleet_size + 1));
+  entries_[member.address] = {member, Encode(member).size(),
+                              kTransmissionsFactor * doublings};
+}
+
+std::vector<Member> UpdateQueue::Take(size_t max_bytes) {
+  std::vector<Entry*> order;
+  order.reserve(entries_.size());
+  for (auto& [address, entry] : entries_) order.push_back(&entry);
+  std::stable_sort(order.begin(), order.end(),
+                   [](const Entry* a, const Entry* b) {
+                     return a->remaining > b->remaining;
+                   });
+  std::vector<Member> taken;
+  for (Entry* entry : order) {
+    if (entry->bytes > max_bytes) continue;
+    max_bytes -= entry->bytes;
+    --entry->remaining;
+    taken.push_back(entry->member);
+  }
+  std::erase_if(entries_,
+                [](const auto& item) { return item.second.remaining == 0; });
+  return taken;
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Plugins/version_survey.h
@@ -0,0 +1,48 @@
+#pragma once
+/// \file
+/// Finds out which version is in force where.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Base/address.h"
+#include "Base/time.h"
+#include "Kernel/plugin.h"
+
+namespace buckthorncart {
+
+/// Answers `in-force` and `daemons` by probing every known daemon. A daemon
+/// that does not answer is named and never counted as done.
+class VersionSurvey : public Plugin {
+ public:
+  void Attach(Context& ctx) override;
+  void Handle(Context& ctx, const Event& event) override;
+  bool HandleOperator(Context& ctx, const OperatorRequested& request) override;
+
+ private:
+  enum class Kind : uint8_t { kInForce, kDaemons };
+  struct Survey {
+    Kind kind = Kind::kInForce;
+    uint64_t request = 0;
+    uint64_t version = 0;
+    Time until{};
+    /// Version that each daemon reported; daemons without an answer are
+    /// absent.
+    std::map<Address, uint64_t> reported;
+  };
+
+  void Begin(Context& ctx, const OperatorRequested& request, Kind kind);
+  void ProbeAll(Context& ctx, uint64_t number);
+  void NoteVersion(Context& ctx, const DatagramReceived& received);
+  void EndIfDone(Context& ctx, uint64_t number, bool last);
+  std::vector<Address> Expected(Context& ctx) const;
+  void AnswerInForce(Context& ctx, const Survey& survey);
+  void AnswerDaemons(Context& ctx, const Survey& survey);
+
+  std::map<uint64_t, Survey> surveys_;
+  uint64_t next_survey_ = 0;
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Tool/fetch_json.cc
@@ -0,0 +1,18 @@
+#include "Tool/fetch_json.h"
+
+namespace buckthorncart {
+
+Result<JsonAnswer> FetchJson(const OperatorClient& client,
+                             const std::string& method, const std::string& path,
+                             const std::string& body) {
+  auto answer = client.Fetch({method, path, {}, body});
+  if (!answer) return tl::unexpected(answer.error());
+  auto json = nlohmann::ordered_json::parse(answer->body, nullptr, false);
+  if (json.is_discarded()) {
+    return Fail(Errc::kMalformedFrame, "answer of " + answer->daemon.ToString(),
+                "a JSON body", "check that --daemon names a buckthorncartd");
+  }
+  return JsonAnswer{answer->status, std::move(json)};
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Wire/codec.h
@@ -0,0 +1,49 @@
+#pragma once
+/// \file
+/// msgpack encoding of records.
+///
+/// Decoding never throws: any malformed input becomes
+/// `Errc::kMalformedFrame`.
+
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+
+#include "Base/result.h"
+#include "Wire/variant_adaptor.h"
+
+namespace buckthorncart {
+
+/// Bounds on what a decoded message may contain.
+inline constexpr size_t kMaxDecodedElements = 1U << 20U;
+inline constexpr size_t kMaxDecodedBytes = 64U << 20U;
+inline constexpr size_t kMaxDecodedDepth = 16;
+
+inline msgpack::unpack_limit DecodeLimits() {
+  return {kMaxDecodedElements, kMaxDecodedElements, kMaxDecodedBytes,
+          kMaxDecodedBytes,    kMaxDecodedBytes,    kMaxDecodedDepth};
+}
+
+template <typename T>
+std::string Encode(const T& record) {
+  msgpack::sbuffer buf;
+  msgpack::pack(buf, record);
+  return {buf.data(), buf.size()};
+}
+
+template <typename T>
+Result<T> Decode(std::string_view bytes) {
+  try {
+    size_t offset = 0;
+    const auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset,
+                                        nullptr, nullptr, DecodeLimits());
+    if (offset != bytes.size()) return Fail(Errc::kMalformedFrame);
+    T record;
+    handle.get().convert(record);
+    return record;
+  } catch (const std::exception&) {
+    return Fail(Errc::kMalformedFrame);
+  }
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Tests/EndToEnd/process_fleet.h
@@ -0,0 +1,74 @@
+#pragma once
+/// \file
+/// Daemons, backend servers and a platform as processes on loopback.
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Base/address.h"
+#include "Base/time.h"
+#include "Wire/http.h"
+
+namespace buckthorncart {
+
+struct FetchResult {
+  /// 0 when there was no whole answer.
+  uint16_t status = 0;
+  Headers headers;
+  std::string body;
+};
+
+/// Owns the processes; the destructor ends them. Each fleet has loopback
+/// addresses of its own.
+class ProcessFleet {
+ public:
+  ProcessFleet();
+  ~ProcessFleet();
+  ProcessFleet(const ProcessFleet&) = delete;
+  ProcessFleet& operator=(const ProcessFleet&) = delete;
+
+  void StartPlatform();
+  /// Starts daemon `n` of `size` in data centre nl-west-a, -b, … by turns.
+  void StartDaemon(uint32_t n, uint32_t size,
+                   const std::vector<std::string>& flags = {});
+  void StartBackendServer(uint32_t n, const std::string& service,
+                          const std::vector<std::string>& flags = {});
+  /// Sends a signal to "daemon-N", "backend-N" or "platform".
+  void Signal(const std::string& name, int signal);
+  /// Waits for the end of a process and returns its exit status, or -1 when
+  /// it lasted longer than `limit` or was ended by a signal.
+  int WaitForExit(const std::string& name, Duration limit);
+
+  Address Platform() const;
+  Address Callers(uint32_t n) const;
+  Address Operators(uint32_t n) const;
+  Address Backend(uint32_t n) const;
+
+  FetchResult Fetch(Address to, const HttpRequest& request,
+                    Duration limit = 10s) const;
+  FetchResult Get(Address to, const std::string& path) const;
+  FetchResult Post(Address to, const std::string& path,
+                   const std::string& body = {}) const;
+
+  /// Starts a program of the project; its standard output goes to `output`
+  /// when that is set.
+  pid_t StartProgram(const std::string& name, const std::string& program,
+                     const std::vector<std::string>& arguments,
+                     const std::string& output = {});
+
+ private:
+  Address AddressOf(uint32_t host, uint16_t port) const;
+
+  uint32_t network_;
+  std::map<std::string, pid_t> processes_;
+};
+
+/// Repeats `done` until it is true; false after `limit`.
+bool WaitFor(const std::function<bool()>& done, Duration limit = 20s);
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Tests/Support/fake_fleet.cc
@@ -0,0 +1,282 @@
+#include "Support/fake_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/overload.h"
+
+namespace buckthorncart {
+namespace {
+
+constexpr Duration kPlatformDelay = 2ms;
+constexpr Duration kAnnounceInterval = 1s;
+constexpr uint64_t kWallStartMs = 1'700'000'000'000;
+
+uint64_t WallAt(Time now) {
+  return kWallStartMs + static_cast<uint64_t>(ToMilliseconds(now));
+}
+
+}  // namespace
+
+uint32_t FakeFleet::NumberOf(Address address) { return address.ip & 0xFFFFU; }
+
+FakeDaemon& FakeFleet::Add(uint32_t n, const std::string& data_centre) {
+  return Add(TestSettings(n, data_centre));
+}
+
+FakeDaemon& FakeFleet::Add(const KernelSettings& settings) {
+  const uint32_t n = NumberOf(settings.self);
+  settings_[n] = settings;
+  daemons_[n] = nullptr;
+  std::vector<Address> all;
+  for (const auto& [number, known] : settings_) all.push_back(known.self);
+  for (auto& [number, known] : settings_) {
+    known.peers = all;
+    daemons_[number] = Create(known);
+  }
+  return *daemons_.at(n);
+}
+
+std::unique_ptr<FakeDaemon> FakeFleet::Create(const KernelSettings& settings) {
+  process_[NumberOf(settings.self)] = ++next_process_;
+  return std::make_unique<FakeDaemon>(settings, plugins_(settings),
+                                      [this](FakeDaemon& from, Effect effect) {
+                                        Carry(from, std::move(effect));
+                                      });
+}
+
+void FakeFleet::StartAll() {
+  for (const auto& [n, daemon] : daemons_) {
+    DeliverNow(n, Started{WallAt(now_)});
+  }
+}
+
+void FakeFleet::Kill(uint32_t n) {
+  const Address address = daemons_.at(n)->Self();
+  ended_.push_back(std::move(daemons_.at(n)));
+  daemons_.erase(n);
+  process_.erase(n);
+  held_back_.erase(n);
+  frozen_.erase(n);
+  for (const auto& [number, daemon] : daemons_) {
+    Later(delay_, number, PeerConnectionLost{address});
+  }
+}
+
+FakeDaemon& FakeFleet::Restart(uint32_t n) {
+  if (daemons_.contains(n)) Kill(n);
+  daemons_[n] = Create(settings_.at(n));
+  DeliverNow(n, Started{WallAt(now_)});
+  return *daemons_.at(n);
+}
+
+void FakeFleet::Thaw(uint32_t n) {
+  frozen_.erase(n);
+  const std::deque<Event> events = std::exchange(held_back_[n], {});
+  for (const Event& event : events) DeliverNow(n, event);
+}
+
+std::vector<uint32_t> FakeFleet::Numbers() const {
+  std::vector<uint32_t> numbers;
+  for (const auto& [n, daemon] : daemons_) numbers.push_back(n);
+  return numbers;
+}
+
+void FakeFleet::Later(Duration delay, uint32_t to, Event event) {
+  const auto it = process_.find(to);
+  if (it == process_.end()) return;
+  queue_.emplace(now_ + delay, Queued{to, it->second, std::move(event)});
+}
+
+void FakeFleet::DeliverNow(uint32_t to, const Event& event) {
+  const auto it = daemons_.find(to);
+  if (it == daemons_.end()) return;
+  if (frozen_.contains(to)) {
+    held_back_[to].push_back(event);
+    return;
+  }
+  it->second->Deliver(now_, event);
+  if (observer_) observer_(*it->second);
+}
+
+void FakeFleet::Carry(FakeDaemon& from, Effect effect) {
+  const Address sender = from.Self();
+  if (filter_ && !filter_(sender, effect)) return;
+  std::visit(Overload{
+                 [&](SendPeer& e) {
+                   const uint32_t to = NumberOf(e.to);
+                   if (!daemons_.contains(to)) {
+                     Later(delay_, NumberOf(sender), PeerConnectionLost{e.to});
+                     return;
+                   }
+                   Later(delay_, to,
+                         PeerMessageReceived{sender, std::move(e.message)});
+                 },
+                 [&](SendDatagram& e) {
+                   Later(delay_, NumberOf(e.to),
+                         DatagramReceived{sender, std::move(e.message)});
+                 },
+                 [&](ResetPeer& e) {
+                   Later(Duration::zero(), NumberOf(sender),
+                         PeerConnectionLost{e.peer});
+                   Later(delay_, NumberOf(e.peer), PeerConnectionLost{sender});
+                 },
+                 [&](CallPlatform& e) { CarryPlatform(from, e); },
+                 [&](CallBackend& e) { CarryBackend(from, e); },
+                 [&](AnswerCaller& e) { CarryAnswer(e); },
+                 [&](AnswerOperator& e) { answers_[e.request] = e.body; },
+                 [](auto&) {},
+             },
+             effect);
+}
+
+void FakeFleet::CarryPlatform(FakeDaemon& from, const CallPlatform& call) {
+  const uint32_t n = NumberOf(from.Self());
+  if (platform_fault_ == PlatformFault::kDown) {
+    Later(kPlatformDelay, n,
+          PlatformReplied{call.tag, {PlatformStatus::kUnavailable, {}, {}}});
+    return;
+  }
+  if (platform_fault_ == PlatformFault::kSilent) return;
+  const bool write = std::holds_alternative<Transaction>(call.request) ||
+                     std::holds_alternative<PutObject>(call.request);
+  ++(write ? platform_writes_ : platform_reads_);
+  PlatformReply reply = table_.Apply(call.request);
+  if (platform_fault_ == PlatformFault::kLoseAnswers) {
+    reply = {PlatformStatus::kUnknown, {}, {}};
+  }
+  Later(kPlatformDelay, n, PlatformReplied{call.tag, std::move(reply)});
+}
+
+void FakeFleet::CarryBackend(FakeDaemon& from, const CallBackend& call) {
+  const uint32_t n = NumberOf(from.Self());
+  const BackendBehaviour& behaviour = behaviours_[n];
+  if (behaviour.fault != BackendFault::kNotConnected) {
+    ++runs_[n];
+    const std::string key(
+        FindHeader(call.request.headers, header::kIdempotencyKey));
+    if (!key.empty()) ++runs_by_key_[key];
+  }
+  if (behaviour.never_answers) return;
+  AnswerPart part;
+  if (behaviour.fault == BackendFault::kNone) {
+    constexpr uint16_t kHttpOk = 200;
+    part.status = kHttpOk;
+    part.body = "answer of " + std::to_string(n) + " to " + call.request.path;
+    part.end = AnswerEnd::kComplete;
+  } else {
+    part.end = AnswerEnd::kBroken;
+  }
+  Later(behaviour.time, n,
+        BackendAnswered{call.run, std::move(part), behaviour.fault});
+}
+
+void FakeFleet::CarryAnswer(const AnswerCaller& answer) {
+  AnswerPart& joined = caller_answers_[answer.call];
+  if (answer.part.IsHead()) {
+    joined.status = answer.part.status;
+    joined.headers = answer.part.headers;
+  }
+  joined.body += answer.part.body;
+  joined.end = answer.part.end;
+}
+
+std::optional<Time> FakeFleet::NextTime() const {
+  std::optional<Time> next;
+  const auto consider = [&next](Time at) {
+    if (!next || at < *next) next = at;
+  };
+  if (!queue_.empty()) consider(queue_.begin()->first);
+  if (!announcements_.empty()) consider(next_announcement_);
+  for (const auto& [n, daemon] : daemons_) {
+    if (frozen_.contains(n)) continue;
+    const auto timer = daemon->NextTimer();
+    if (timer) consider(*timer);
+  }
+  return next;
+}
+
+void FakeFleet::Step(Time until) {
+  now_ = std::max(now_, until);
+  while (!queue_.empty() && queue_.begin()->first <= now_) {
+    const Queued queued = std::move(queue_.begin()->second);
+    queue_.erase(queue_.begin());
+    const auto it = process_.find(queued.to);
+    if (it == process_.end() || it->second != queued.process) continue;
+    DeliverNow(queued.to, queued.event);
+  }
+  if (!announcements_.empty() && next_announcement_ <= now_) {
+    next_announcement_ = now_ + kAnnounceInterval;
+    for (const auto& [n, body] : announcements_) {
+      DeliverNow(n,
+                 OperatorRequested{++next_request_,
+                                   {"POST", "/v1/backend-server", {}, body}});
+    }
+  }
+  for (const uint32_t n : Numbers()) {
+    if (frozen_.contains(n)) continue;
+    const auto timer = daemons_.at(n)->NextTimer();
+    if (!timer || *timer > now_) continue;
+    daemons_.at(n)->FireTimersUntil(now_);
+    if (observer_) observer_(*daemons_.at(n));
+  }
+}
+
+void FakeFleet::Advance(Duration duration) {
+  const Time end = now_ + duration;
+  while (true) {
+    const auto next = NextTime();
+    if (!next || *next > end) break;
+    Step(*next);
+  }
+  now_ = end;
+}
+
+bool FakeFleet::AdvanceUntil(const std::function<bool()>& done,
+                             Duration limit) {
+  const Time end = now_ + limit;
+  while (!done()) {
+    const auto next = NextTime();
+    if (!next || *next > end) {
+      now_ = end;
+      return done();
+    }
+    Step(*next);
+  }
+  return true;
+}
+
+uint64_t FakeFleet::Submit(uint32_t n, const std::string& method,
+                           const std::string& path, const std::string& body) {
+  const uint64_t request = ++next_request_;
+  DeliverNow(n, OperatorRequested{request, {method, path, {}, body}});
+  return request;
+}
+
+std::string FakeFleet::Ask(uint32_t n, const std::string& method,
+                           const std::string& path, const std::string& body,
+                           Duration limit) {
+  const uint64_t request = Submit(n, method, path, body);
+  AdvanceUntil([&] { return answers_.contains(request); }, limit);
+  return answers_[request];
+}
+
+uint64_t FakeFleet::Call(uint32_t n, HttpRequest request) {
+  const uint64_t call = ++next_request_;
+  DeliverNow(n, CallerRequested{call, std::move(request)});
+  return call;
+}
+
+void FakeFleet::Announce(uint32_t n, const std::string& service,
+                         const std::string& state, uint32_t slots) {
+  announcements_[n] = R"({"service":")" + service + R"(","state":")" + state +
+                      R"(","slots":)" + std::to_string(slots) + "}";
+  next_announcement_ = now_;
+}
+
+uint64_t FakeFleet::RunsAt(uint32_t n) const {
+  const auto it = runs_.find(n);
+  return it == runs_.end() ? 0 : it->second;
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Utilities/LoadTool/load_generator.cc
@@ -0,0 +1,112 @@
+#include "LoadTool/load_generator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthorncart {
+namespace {
+
+constexpr Duration kSendInterval = 1ms;
+constexpr Duration kLastAnswers = 10s;
+
+}  // namespace
+
+int64_t LoadReport::LatencyAt(double share) {
+  if (latencies_us.empty()) return 0;
+  const auto n = static_cast<ptrdiff_t>(
+      share * static_cast<double>(latencies_us.size() - 1));
+  std::nth_element(latencies_us.begin(), latencies_us.begin() + n,
+                   latencies_us.end());
+  return latencies_us[static_cast<size_t>(n)];
+}
+
+LoadGenerator::LoadGenerator(Loop& loop, const LoadSettings& settings)
+    : loop_(loop),
+      settings_(settings),
+      client_(loop, [this](uint64_t id, const AnswerPart& part,
+                           BackendFault fault) { OnPart(id, part, fault); }) {}
+
+Result<void> LoadGenerator::Start() {
+  auto opened = client_.Open("load");
+  if (!opened) return opened;
+  started_ = Loop::Now();
+  SendDue();
+  return {};
+}
+
+void LoadGenerator::SendDue() {
+  const Duration elapsed = Loop::Now() - started_;
+  if (elapsed < settings_.duration) {
+    const auto target =
+        static_cast<uint64_t>(std::chrono::duration<double>(elapsed).count() *
+                              settings_.rate_per_second);
+    for (; due_ < target; ++due_) SendOne();
+  } else if (pending_.empty() || elapsed > settings_.duration + kLastAnswers) {
+    report_.broken += pending_.size();
+    loop_.Stop();
+    return;
+  }
+  loop_.RunIn(kSendInterval, [this] { SendDue(); });
+}
+
+void LoadGenerator::SendOne() {
+  if (pending_.size() >= settings_.max_in_flight) {
+    ++report_.withheld;
+    return;
+  }
+  const uint64_t id = ++next_id_;
+  pending_[id].sent = Loop::Now();
+  HttpRequest request;
+  request.method = settings_.method;
+  request.path = settings_.path;
+  request.headers.push_back(
+      {std::string(header::kRequestId), std::to_string(id)});
+  if (settings_.deadline_ms != 0) {
+    request.headers.push_back({std::string(header::kDeadline),
+                               std::to_string(settings_.deadline_ms)});
+  }
+  if (!settings_.key_prefix.empty()) {
+    request.headers.push_back({std::string(header::kIdempotencyKey),
+                               settings_.key_prefix + std::to_string(id)});
+  }
+  client_.Send(id, settings_.targets[id % settings_.targets.size()],
+               std::move(request));
+}
+
+void LoadGenerator::OnPart(uint64_t id, const AnswerPart& part,
+                           BackendFault fault) {
+  const auto it = pending_.find(id);
+  if (it == pending_.end()) return;
+  Pending& pending = it->second;
+  if (part.IsHead()) {
+    pending.status = part.status;
+    pending.outcome = FindHeader(part.headers, header::kOutcome);
+    pending.reason = FindHeader(part.headers, header::kReason);
+  }
+  pending.bytes += part.body.size();
+  if (part.end == AnswerEnd::kMore) return;
+  Classify(pending, fault);
+  pending_.erase(it);
+}
+
+void LoadGenerator::Classify(const Pending& pending, BackendFault fault) {
+  constexpr uint16_t kHttpOk = 200;
+  if (fault != BackendFault::kNone) {
+    ++report_.broken;
+    return;
+  }
+  if (pending.status != kHttpOk) {
+    ++report_.reasons[pending.reason];
+    ++(pending.outcome == NameOf(Outcome::kNotRun) ? report_.not_run
+                                                   : report_.unknown);
+    return;
+  }
+  if (pending.bytes != settings_.expected_bytes) {
+    ++report_.wrong;
+    return;
+  }
+  ++report_.whole;
+  report_.latencies_us.push_back((Loop::Now() - pending.sent).count());
+}
+
+}  // namespace buckthorncart
