Bound the memory of answers to slow callers

Cause: answers were read from the backend server as fast as it sent them and piled up in the receiving daemon when the caller did not read.

Ruled out: a limit on the size of answers, which would refuse the 8 MB images that callers ask for; TCP back-pressure between daemons, which would stop every call on the shared connection.

--- a/Source/Kernel/directory.h
+++ b/Source/Kernel/directory.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <utility>
 
 #include "Base/address.h"
 #include "Config/change.h"
@@ -36,6 +37,8 @@
   uint32_t active_runs = 0;
   /// Requests of callers without a complete answer (receiving).
   uint32_t active_calls = 0;
+  /// Runs by the daemon that sent the call and the call's id (admission).
+  const std::map<std::pair<Address, uint64_t>, uint64_t>* run_of_call = nullptr;
   /// Wall-clock time of the start, milliseconds since the epoch (kernel).
   uint64_t started_wall_ms = 0;
 };
--- a/Source/Kernel/effect.h
+++ b/Source/Kernel/effect.h
@@ -66,6 +66,15 @@
   uint64_t run = 0;
 };
 
+/// Stops reading the answer to `run` from the backend server.
+struct PauseBackend {
+  uint64_t run = 0;
+};
+
+struct ResumeBackend {
+  uint64_t run = 0;
+};
+
 struct AnswerOperator {
   uint64_t request = 0;
   uint16_t status = 200;
@@ -111,8 +120,9 @@
 /// Ends the process with exit status 0.
 struct Exit {};
 
-using Effect = std::variant<SendPeer, ResetPeer, SendDatagram, SetTimer,
-                            CallPlatform, AnswerCaller, CallBackend,
-                            CancelBackend, AnswerOperator, LogChange, Exit>;
+using Effect =
+    std::variant<SendPeer, ResetPeer, SendDatagram, SetTimer, CallPlatform,
+                 AnswerCaller, CallBackend, CancelBackend, AnswerOperator,
+                 LogChange, Exit, PauseBackend, ResumeBackend>;
 
 }  // namespace buckthorncart
--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -116,6 +116,14 @@
   MSGPACK_DEFINE(run, part, fault)
 };
 
+/// The caller's connection has taken `bytes` of an answer whose end is still to
+/// come.
+struct CallerDrained {
+  uint64_t call = 0;
+  uint64_t bytes = 0;
+  MSGPACK_DEFINE(call, bytes)
+};
+
 /// A request on the operators' listener, from an operator or from the backend
 /// server beside the daemon.
 struct OperatorRequested {
@@ -176,7 +184,8 @@
                  DatagramReceived, PlatformReplied, CallerRequested, CallerLeft,
                  BackendAnswered, OperatorRequested, OperatorLeft,
                  ShutdownRequested, ConfigurationAdopted, HeadObserved,
-                 MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted>;
+                 MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted,
+                 CallerDrained>;
 
 }  // namespace buckthorncart
 
--- a/Source/Kernel/plugin_registry.h
+++ b/Source/Kernel/plugin_registry.h
@@ -21,6 +21,7 @@
   kCrashGuard,
   kClaims,
   kAdmission,
+  kAnswerFlow,
   kReceiving,
   kDrain,
   kBurn,
--- a/Source/Kernel/trace.cc
+++ b/Source/Kernel/trace.cc
@@ -37,6 +37,8 @@
           },
           [&](const LogChange& e) { bytes += NameOf(e.topic); },
           [](const Exit&) {},
+          [&](const PauseBackend& e) { bytes += Encode(e.run); },
+          [&](const ResumeBackend& e) { bytes += Encode(e.run); },
       },
       effect);
   return bytes;
--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -70,6 +70,13 @@
   }
 }
 
+void HttpClient::SetReading(uint64_t id, bool reading) {
+  const auto it = transactions_.find(id);
+  if (it == transactions_.end() || it->second->wsi == nullptr) return;
+  it->second->paused = !reading;
+  lws_rx_flow_control(it->second->wsi, reading ? 1 : 0);
+}
+
 int HttpClient::Callback(lws* wsi, lws_callback_reasons reason, void* /*user*/,
                          void* in, size_t len) {
   auto* transaction = static_cast<Transaction*>(lws_get_opaque_user_data(wsi));
@@ -176,6 +183,7 @@
 }
 
 int HttpClient::HandleReadable(Transaction& transaction) {
+  if (transaction.paused) return 0;
   char buf[LWS_PRE + kReadBytes];
   char* p = buf + LWS_PRE;
   int n = kReadBytes;
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -33,6 +33,8 @@
   /// Sends `request` on a connection of its own. The answer may arrive before
   /// this returns.
   void Send(uint64_t id, Address to, HttpRequest request);
+  /// Stops or goes on reading the answer to request `id`.
+  void SetReading(uint64_t id, bool reading);
   /// Closes the connection of request `id`; its handler hears no more.
   void Cancel(uint64_t id);
 
@@ -50,6 +52,7 @@
     bool framed = false;
     bool ended = false;
     bool cancelled = false;
+    bool paused = false;
   };
 
   static int Callback(lws* wsi, lws_callback_reasons reason, void* user,
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -11,6 +11,8 @@
 
 constexpr size_t kMaxHeadBytes = 16'384;
 constexpr size_t kWriteBytes = 32'768;
+/// Written bytes are reported in pieces of at least this size.
+constexpr size_t kReportBytes = 65'536;
 /// Oversized bodies up to this are read to their end, so that the peer gets
 /// the answer instead of a reset connection.
 constexpr uint64_t kMaxDiscardedBytes = 64U << 20U;
@@ -180,10 +182,14 @@
     }
     const AnswerEnd end = part.end;
     session->buffered -= part.body.size();
+    session->drained += part.body.size();
     session->part_offset = 0;
     session->parts.pop_front();
     if (end != AnswerEnd::kMore) return FinishAnswer(*session, end);
   }
+  if (session->drained >= kReportBytes) {
+    handler_.OnDrained(session->id, std::exchange(session->drained, 0));
+  }
   return 0;
 }
 
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -32,6 +32,8 @@
   virtual void OnRequest(uint64_t id, HttpRequest request) = 0;
   /// The peer has left before the answer to request `id` was complete.
   virtual void OnLeft(uint64_t id) = 0;
+  /// The peer has taken `bytes` of an answer whose end is still to come.
+  virtual void OnDrained(uint64_t /*id*/, uint64_t /*bytes*/) {}
   /// Answer to a request whose body is larger than the limit.
   virtual AnswerPart BodyTooLarge() = 0;
   /// Answer to a request with a body of unknown length.
@@ -69,6 +71,8 @@
     std::deque<AnswerPart> parts;
     size_t part_offset = 0;
     size_t buffered = 0;
+    /// Bytes written since they were last reported.
+    size_t drained = 0;
     bool chunked = false;
     bool close = false;
     bool cut = false;
--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -23,6 +23,9 @@
     driver_.Dispatch(make_request_(id, std::move(request)));
   }
   void OnLeft(uint64_t id) override { driver_.Dispatch(make_left_(id)); }
+  void OnDrained(uint64_t id, uint64_t bytes) override {
+    driver_.Dispatch(CallerDrained{id, bytes});
+  }
   AnswerPart BodyTooLarge() override {
     return MakeFailureAnswer(Errc::kBodyTooLarge, Outcome::kNotRun);
   }
@@ -181,6 +184,14 @@
   backend_.Cancel(effect.run);
 }
 
+void LoopDriver::Carry(const PauseBackend& effect) {
+  backend_.SetReading(effect.run, false);
+}
+
+void LoopDriver::Carry(const ResumeBackend& effect) {
+  backend_.SetReading(effect.run, true);
+}
+
 void LoopDriver::Carry(AnswerOperator effect) {
   AnswerPart part;
   part.status = effect.status;
--- a/Source/Net/loop_driver.h
+++ b/Source/Net/loop_driver.h
@@ -64,6 +64,8 @@
   void Carry(AnswerCaller effect);
   void Carry(CallBackend effect);
   void Carry(const CancelBackend& effect);
+  void Carry(const PauseBackend& effect);
+  void Carry(const ResumeBackend& effect);
   void Carry(AnswerOperator effect);
   void Carry(const LogChange& effect);
   void Carry(const Exit& effect);
--- a/Source/Net/peer_transport.cc
+++ b/Source/Net/peer_transport.cc
@@ -21,7 +21,8 @@
          !std::holds_alternative<CallAnswer>(message) &&
          !std::holds_alternative<CallRefused>(message) &&
          !std::holds_alternative<CallFailed>(message) &&
-         !std::holds_alternative<CancelCall>(message);
+         !std::holds_alternative<CancelCall>(message) &&
+         !std::holds_alternative<CallCredit>(message);
 }
 
 void DisableNagle(lws* wsi) {
--- a/Source/Plugins/admission.cc
+++ b/Source/Plugins/admission.cc
@@ -60,6 +60,7 @@
 }  // namespace
 
 void Admission::Attach(Context& ctx) {
+  ctx.Shared().run_of_call = &run_of_call_;
   ctx.AllMetrics().Add(&counters_);
   ctx.AllMetrics().AddGauge("admission_slots_in_use", [this] {
     return static_cast<double>(slots_in_use_);
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -143,6 +143,13 @@
   MSGPACK_DEFINE(id)
 };
 
+/// The caller has taken `bytes` of the answer.
+struct CallCredit {
+  uint64_t id = 0;
+  uint64_t bytes = 0;
+  MSGPACK_DEFINE(id, bytes)
+};
+
 // Operators.
 
 /// An operators' request that one daemon passes on to another.
@@ -163,7 +170,8 @@
     std::variant<Hello, Ping, Pong, PullChanges, PushChanges, PushSnapshot,
                  SnapshotBusy, VersionHeld, FloorQuery, FloorReport,
                  PullMembers, PushMembers, Call, CallRefused, CallAnswer,
-                 CallFailed, CancelCall, OperatorQuery, OperatorReply>;
+                 CallFailed, CancelCall, OperatorQuery, OperatorReply,
+                 CallCredit>;
 
 }  // namespace buckthorncart
 
