Find the start floor anew after a freeze and from all peers

Acceptance became a template on AcceptanceRules. Found there: a base that cannot be was taken as 0; a lost reply or a full queue left a settlement or a catch-up waiting for the decision timeout; an accepted change was pushed to one relay only; operations waiting for their turn had no deadline. Edits that another change has made invalid are now a conflict that names its version.

--- /dev/null
+++ b/Source/Config/edit_overlap.cc
@@ -0,0 +1,80 @@
+#include "Config/edit_overlap.h"
+
+#include <algorithm>
+
+namespace buckthorncart {
+namespace {
+
+constexpr const char* kServiceKey = "service";
+constexpr const char* kPathKey = "path";
+
+bool Assigns(const Edit& edit, const std::string& key,
+             const std::string& value) {
+  return std::any_of(edit.assignments.begin(), edit.assignments.end(),
+                     [&](const Assignment& assignment) {
+                       return assignment.key == key &&
+                              assignment.value == value;
+                     });
+}
+
+bool RefersTo(const Edit& edit, const std::string& service) {
+  return edit.kind != ObjectKind::kService &&
+         Assigns(edit, kServiceKey, service);
+}
+
+bool TakesSamePath(const Edit& a, const Edit& b) {
+  if (a.kind != ObjectKind::kRoute || b.kind != ObjectKind::kRoute) {
+    return false;
+  }
+  return std::any_of(b.assignments.begin(), b.assignments.end(),
+                     [&a](const Assignment& assignment) {
+                       return assignment.key == kPathKey &&
+                              Assigns(a, kPathKey, assignment.value);
+                     });
+}
+
+bool CanInvalidate(const Edit& earlier, const Edit& later) {
+  if (earlier.kind == ObjectKind::kService && RefersTo(later, earlier.name)) {
+    return true;
+  }
+  if (later.kind == ObjectKind::kService && RefersTo(earlier, later.name)) {
+    return true;
+  }
+  return TakesSamePath(earlier, later);
+}
+
+/// Finds the first edit of `earlier` that `related` to one of `later`.
+template <typename Relation>
+bool FindRelated(const std::vector<Edit>& earlier,
+                 const std::vector<Edit>& later, Relation related,
+                 std::string& object) {
+  for (const Edit& one : earlier) {
+    for (const Edit& other : later) {
+      if (!related(one, other)) continue;
+      object = one.ObjectName();
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+bool TouchSameObject(const std::vector<Edit>& earlier,
+                     const std::vector<Edit>& later, std::string& object) {
+  return FindRelated(
+      earlier, later,
+      [](const Edit& a, const Edit& b) {
+        return a.kind == b.kind && a.name == b.name;
+      },
+      object);
+}
+
+bool CanInvalidate(const std::vector<Edit>& earlier,
+                   const std::vector<Edit>& later, std::string& object) {
+  return FindRelated(
+      earlier, later,
+      [](const Edit& a, const Edit& b) { return CanInvalidate(a, b); }, object);
+}
+
+}  // namespace buckthorncart
--- a/Source/Plugins/change_acceptor.h
+++ b/Source/Plugins/change_acceptor.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -13,16 +12,17 @@
 
 #include "Base/address.h"
 #include "Base/error.h"
-#include "Base/time.h"
 #include "Config/change.h"
 #include "Config/configuration.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
+#include "Plugins/acceptance_rules.h"
 #include "Plugins/configuration_rows.h"
 
 namespace buckthorncart {
 
 struct PlatformReply;
+struct Url;
 
 enum class AcceptanceCounter : uint8_t {
   kAccepted,
@@ -44,6 +44,7 @@
 /// outcome under the operation's id. When the answer to it is lost, the
 /// outcome is settled by a second transaction that only one of the two can
 /// win, so that an operator is never told a guess.
+template <AcceptanceRules Rules>
 class ChangeAcceptor : public Plugin {
  public:
   void Attach(Context& ctx) override;
@@ -73,40 +74,48 @@
     std::vector<Edit> edits;
     uint64_t edits_digest = 0;
     uint64_t base = 0;
-    Time since{};
     Phase phase = Phase::kTransact;
     std::optional<uint64_t> tag;
     Change change;
     uint64_t awaited_version = 0;
+    /// Encoded row `head` that won the race.
+    std::string head_row;
     /// Why the operation is refused unless it has been accepted before.
     Failure refusal;
     std::set<std::string> holders;
+    /// Times that other members have been asked to hold the change.
+    uint32_t resends = 0;
   };
-  /// A question about an operation that waits for the platform.
-  struct Question {
-    uint64_t request = 0;
-    std::string id;
-    bool settle = false;
-  };
-
   void Submit(Context& ctx, const OperatorRequested& request);
-  void Ask(Context& ctx, const OperatorRequested& request,
-           const std::string& id, bool settle);
+  Operation NewOperation(Context& ctx, const OperatorRequested& request,
+                         const Url& url);
+  /// Parses and checks what can be known before the operation's turn.
+  std::optional<Failure> Prepare(Context& ctx, const OperatorRequested& request,
+                                 const Url& url, Operation& operation);
+  std::optional<Failure> ParseBase(Context& ctx, const Url& url,
+                                   Operation& operation);
   void StartNext(Context& ctx);
   void Transact(Context& ctx);
-  std::optional<Failure> FindConflict(Context& ctx) const;
+  std::optional<Failure> FindConflict(Context& ctx,
+                                      const Operation& operation) const;
+  /// The conflict that made the edits invalid, or `failure` if none did.
+  Failure ExplainInvalid(Context& ctx, const Operation& operation,
+                         const Failure& failure) const;
   void HandleReply(Context& ctx, const PlatformReply& reply);
   void HandleTransacted(Context& ctx, const PlatformReply& reply);
   void RefuseUnlessKnown(Context& ctx, const Failure& failure);
   void HandleLookedUp(Context& ctx, const PlatformReply& reply);
   void HandleSettled(Context& ctx, const PlatformReply& reply);
-  void HandleAnswer(Context& ctx, const Question& question,
-                    const PlatformReply& reply);
   void HandleConditionFailed(Context& ctx, const PlatformReply& reply);
   void HandleOperationRow(Context& ctx, const std::string& row);
   void Settle(Context& ctx);
   void HandleTimer(Context& ctx, const TimerFired& timer);
-  void HandleAdopted(Context& ctx, uint64_t version);
+  /// Ends an operation that has waited too long for its turn.
+  void Expire(Context& ctx, uint64_t number);
+  void Retry(Context& ctx);
+  void CatchUp(Context& ctx);
+  void ContinueIfCaughtUp(Context& ctx);
+  void SendToMissingHolders(Context& ctx);
   void HandleHeld(Context& ctx, Address from, uint64_t version);
   void BeginHolders(Context& ctx);
   std::set<std::string> OtherDataCentres(Context& ctx) const;
@@ -118,9 +127,12 @@
 
   std::optional<Operation> current_;
   std::deque<Operation> waiting_;
-  std::map<uint64_t, Question> questions_;
   uint64_t next_number_ = 0;
   Counters<AcceptanceCounter> counters_;
 };
 
 }  // namespace buckthorncart
+
+#include "Plugins/change_acceptor_inl.h"
+#include "Plugins/change_holders_inl.h"
+#include "Plugins/change_submission_inl.h"
--- /dev/null
+++ b/Source/Plugins/change_submission_inl.h
@@ -0,0 +1,154 @@
+#pragma once
+/// \file
+/// Taking of operations by `ChangeAcceptor`; include
+/// change_acceptor.h.
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "Base/digest.h"
+#include "Config/parser.h"
+#include "Config/value_parsers.h"
+#include "Kernel/context.h"
+#include "Kernel/url_query.h"
+#include "Plugins/change_acceptor.h"
+#include "Plugins/operation_answers.h"
+#include "Wire/codec.h"
+
+namespace buckthorncart {
+
+inline constexpr size_t kMaxWaitingOperations = 64;
+
+template <AcceptanceRules Rules>
+void ChangeAcceptor<Rules>::Submit(Context& ctx,
+                                   const OperatorRequested& request) {
+  const Url url = ParseUrl(request.http.path);
+  Operation operation = NewOperation(ctx, request, url);
+  const auto failure = Prepare(ctx, request, url, operation);
+  if (failure) {
+    counters_.Add(AcceptanceCounter::kRefused);
+    ctx.AnswerJson(request.request, OperationStatus(failure->code),
+                   RefusedJson(operation.id, *failure).dump() + "\n");
+    return;
+  }
+  if (url.Get("dry-run") == "yes") {
+    const nlohmann::ordered_json body = {{"result", "would-accept"},
+                                         {"base", ctx.Shared().held->version},
+                                         {"edits", operation.edits.size()}};
+    ctx.AnswerJson(request.request, 200, body.dump() + "\n");
+    return;
+  }
+  ctx.SetTimerIn(std::chrono::milliseconds(ctx.Settings().decision_timeout_ms),
+                 TimerKind::kAcceptance, operation.number);
+  waiting_.push_back(std::move(operation));
+  StartNext(ctx);
+}
+
+template <AcceptanceRules Rules>
+typename ChangeAcceptor<Rules>::Operation ChangeAcceptor<Rules>::NewOperation(
+    Context& ctx, const OperatorRequested& request, const Url& url) {
+  Operation operation;
+  operation.number = ++next_number_;
+  operation.request = request.request;
+  operation.id = std::string(url.Get("operation"));
+  operation.base = ctx.Shared().held->version;
+  operation.own_id = !operation.id.empty();
+  if (operation.own_id) return operation;
+  operation.id = ctx.Settings().self.ToString() + "-" +
+                 std::to_string(ctx.Shared().self.incarnation) + "-" +
+                 std::to_string(operation.number);
+  std::replace(operation.id.begin(), operation.id.end(), ':', '-');
+  return operation;
+}
+
+template <AcceptanceRules Rules>
+std::optional<Failure> ChangeAcceptor<Rules>::Prepare(
+    Context& ctx, const OperatorRequested& request, const Url& url,
+    Operation& operation) {
+  if (!IsName(operation.id)) {
+    return Failure{Errc::kInvalidValue, "operation " + operation.id,
+                   "1 to 64 of a-z A-Z 0-9 - _ .",
+                   "choose another operation id"};
+  }
+  if (Rules::kWaitUntilReady && !ctx.Shared().ready) {
+    return Failure{Errc::kNotReady, "daemon " + ctx.Settings().self.ToString(),
+                   "a daemon that holds the current configuration",
+                   "ask another daemon or try again"};
+  }
+  auto statement = ParseStatement(request.http.body);
+  if (!statement) return statement.error();
+  auto* change = std::get_if<ChangeStatement>(&*statement);
+  if (change == nullptr) {
+    return Failure{Errc::kSyntax, "show", "create | change | delete",
+                   "use /v1/query for show"};
+  }
+  operation.edits = std::move(change->edits);
+  operation.edits_digest = DigestOf(Encode(operation.edits));
+  if (auto failure = ParseBase(ctx, url, operation)) return failure;
+  if (url.Get("dry-run") == "yes") {
+    if (auto conflict = FindConflict(ctx, operation)) return conflict;
+    auto result = ApplyEdits(ctx.Shared().held->configuration, operation.edits);
+    if (!result) return ExplainInvalid(ctx, operation, result.error());
+    return std::nullopt;
+  }
+  if (waiting_.size() < kMaxWaitingOperations) return std::nullopt;
+  return Failure{Errc::kQueueFull, "changes",
+                 std::to_string(kMaxWaitingOperations) + " waiting at most",
+                 "try again or ask another daemon"};
+}
+
+template <AcceptanceRules Rules>
+std::optional<Failure> ChangeAcceptor<Rules>::ParseBase(Context& ctx,
+                                                        const Url& url,
+                                                        Operation& operation) {
+  const std::string_view text = url.Get("base");
+  if (text.empty()) return std::nullopt;
+  const char* end = text.data() + text.size();
+  const auto [stop, ec] = std::from_chars(text.data(), end, operation.base);
+  if (ec != std::errc() || stop != end) {
+    return Failure{Errc::kInvalidValue, "base " + std::string(text),
+                   "the number of a version", "correct the base"};
+  }
+  const uint64_t held = ctx.Shared().held->version;
+  if (operation.base <= held) return std::nullopt;
+  return Failure{
+      Errc::kVersionNotReached, "base " + std::string(text),
+      "a version up to " + std::to_string(held) + ", which this daemon holds",
+      "correct the base, try again or ask another daemon"};
+}
+
+template <AcceptanceRules Rules>
+void ChangeAcceptor<Rules>::StartNext(Context& ctx) {
+  if (current_ || waiting_.empty()) return;
+  if (Rules::kWaitUntilReady && !ctx.Shared().ready) return;
+  current_ = std::move(waiting_.front());
+  waiting_.pop_front();
+  Transact(ctx);
+}
+
+template <AcceptanceRules Rules>
+void ChangeAcceptor<Rules>::Expire(Context& ctx, uint64_t number) {
+  const auto it = std::find_if(
+      waiting_.begin(), waiting_.end(),
+      [number](const Operation& waiting) { return waiting.number == number; });
+  if (it == waiting_.end()) return;
+  const Operation operation = std::move(*it);
+  waiting_.erase(it);
+  if (operation.own_id) {
+    // An earlier submission of the same id may have been accepted elsewhere.
+    counters_.Add(AcceptanceCounter::kUndecided);
+    ctx.AnswerJson(operation.request, 202,
+                   UndecidedJson(operation.id).dump() + "\n");
+    return;
+  }
+  counters_.Add(AcceptanceCounter::kRefused);
+  const Failure failure{Errc::kTimeout, "operation " + operation.id,
+                        "a turn within the decision timeout",
+                        "nothing was changed; apply again"};
+  ctx.AnswerJson(operation.request, OperationStatus(failure.code),
+                 RefusedJson(operation.id, failure).dump() + "\n");
+}
+
+}  // namespace buckthorncart
--- a/Source/Plugins/configuration_holder.h
+++ b/Source/Plugins/configuration_holder.h
@@ -19,6 +19,7 @@
 #include "Plugins/configuration_rows.h"
 #include "Plugins/configuration_store.h"
 #include "Plugins/spreading_policy.h"
+#include "Plugins/start_floor.h"
 
 namespace buckthorncart {
 
@@ -34,6 +35,9 @@
   kPushesSent,
   kHeadReads,
   kPlatformCatchUps,
+  kPullsUnanswered,
+  kSnapshotObjectsBad,
+  kWitnessesTold,
 };
 
 template <>
@@ -49,7 +53,10 @@
       "configuration_hints_sent_total",
       "configuration_pushes_sent_total",
       "configuration_head_reads_total",
-      "configuration_platform_catch_ups_total"};
+      "configuration_platform_catch_ups_total",
+      "configuration_pulls_unanswered_total",
+      "configuration_snapshot_objects_bad_total",
+      "configuration_witnesses_told_total"};
 };
 
 /// Keeps three promises: versions never go back, a version is taken whole or
@@ -61,20 +68,22 @@
   void Handle(Context& ctx, const Event& event) override;
 
  private:
-  /// What is known of the floor while the daemon starts.
-  struct Floor {
-    bool known = false;
-    uint64_t version = 0;
-    /// Highest version that a peer has reported.
-    uint64_t reported = 0;
-    uint32_t reports = 0;
-    bool platform_failed = false;
+  /// The question for changes that is being answered.
+  struct PullState {
+    Address from;
     Time since{};
+    uint64_t number = 0;
   };
 
   void BeginStart(Context& ctx);
   void AskForFloor(Context& ctx);
   void HandleFloorReport(Context& ctx, Address from, const FloorReport& report);
+  /// The configured peers and the witnesses of this address.
+  std::set<Address> FloorPeers(Context& ctx) const;
+  /// The `n` members that are told of what this address holds; by rendezvous
+  /// hash, so that a restarted daemon finds them again.
+  std::vector<Address> Witnesses(Context& ctx, size_t n) const;
+  void TellWitnesses(Context& ctx);
   void DecideFloor(Context& ctx);
   void SetFloor(Context& ctx, uint64_t version);
   void UpdateReady(Context& ctx);
@@ -85,15 +94,22 @@
   void HandleHead(Context& ctx, const PlatformReply& reply);
   void HandleHeadRow(Context& ctx, const std::string& row);
   void HandleCatchUp(Context& ctx, const PlatformReply& reply);
+  void HandleSnapshotObject(Context& ctx, const PlatformReply& reply);
+  bool TakeSnapshotObject(Context& ctx, const std::string& bytes);
+  void HandleLost(Context& ctx, Address peer);
 
   void NoteVersion(Context& ctx, Address peer, uint64_t version);
   void Pull(Context& ctx, Address peer, bool whole);
+  /// Asks a peer that has not sent anything bad, or else the platform.
+  void PullFromAnother(Context& ctx);
+  void EndPull(Address peer);
   void ServePull(Context& ctx, Address peer, const PullChanges& pull);
   void TakeChanges(Context& ctx, Address from,
                    const std::vector<Change>& changes);
   void TakeSnapshot(Context& ctx, Address from, const Snapshot& snapshot);
   void Adopt(Context& ctx, Address from);
-  void HoldBack(Context& ctx, uint64_t version, const Failure& failure);
+  void HoldBack(Context& ctx, Address from, uint64_t version,
+                const Failure& failure);
   void Spread(Context& ctx, Address from);
   void ReadHead(Context& ctx);
   bool ReadsHead(Context& ctx) const;
@@ -101,22 +117,28 @@
 
   Policy policy_;
   ConfigurationStore<Rules> store_;
-  Floor floor_;
+  StartFloor<Rules> floor_;
+  /// True once this process has been ready.
+  bool was_ready_ = false;
   /// Highest version heard from each address.
   std::map<Address, uint64_t> heard_;
-  /// Peer that is asked for changes, with the time of asking.
-  Address pulling_from_;
-  Time pulling_since_{};
+  PullState pull_;
+  /// Peers that sent something bad since the last version was taken.
+  std::set<Address> distrusted_;
   std::optional<uint64_t> head_tag_;
   std::optional<uint64_t> catch_up_tag_;
   std::optional<uint64_t> snapshot_tag_;
   HeadRow catch_up_head_;
-  /// Version of the latest known snapshot in the object store; 0 for none.
-  uint64_t latest_snapshot_ = 0;
+  /// Latest known snapshot in the object store; version 0 for none.
+  SnapshotRow latest_snapshot_;
+  /// Version of a snapshot object that is missing or bad.
+  uint64_t bad_snapshot_ = 0;
   uint32_t snapshots_this_second_ = 0;
   Counters<ConfigurationCounter> counters_;
 };
 
 }  // namespace buckthorncart
 
+#include "Plugins/configuration_catch_up_inl.h"
 #include "Plugins/configuration_holder_inl.h"
+#include "Plugins/configuration_start_inl.h"
--- a/Source/Plugins/configuration_holder_inl.h
+++ b/Source/Plugins/configuration_holder_inl.h
@@ -6,27 +6,18 @@
 #include <utility>
 
 #include "Base/digest.h"
-#include "Kernel/platform_queue.h"
 #include "Plugins/configuration_holder.h"
-#include "Wire/codec.h"
 
 namespace buckthorncart {
 
-/// Time for floor reports to arrive when the platform is unavailable.
-inline constexpr Duration kFloorWindow = 2s;
-inline constexpr Duration kStartRetryInterval = 500ms;
 inline constexpr Duration kPullTimeout = 1s;
 /// Whole snapshots served in a second, so that a herd of starting daemons
 /// does not take all of the loop.
 inline constexpr uint32_t kSnapshotsEachSecond = 20;
 inline constexpr uint32_t kSnapshotRetryMs = 1'000;
-/// Daemons of a data centre that read `head` in turn.
-inline constexpr size_t kHeadReaders = 2;
-/// Rows read at once while catching up from the platform.
-inline constexpr uint64_t kCatchUpRows = 128;
-/// Key of the rendezvous hash that chooses the readers of `head`.
-inline constexpr uint64_t kHeadReaderKey = 0x68656164;
-
+/// Bounds on the wait that a busy peer may ask for.
+inline constexpr uint32_t kMinBusyRetryMs = 100;
+inline constexpr uint32_t kMaxBusyRetryMs = 10'000;
 template <SpreadingPolicy Policy, ConfigurationRules Rules>
 void ConfigurationHolder<Policy, Rules>::Attach(Context& ctx) {
   ctx.Shared().kept_changes = &store_.Kept();
@@ -35,7 +26,7 @@
     return static_cast<double>(store_.Held()->version);
   });
   ctx.AllMetrics().AddGauge("configuration_floor_known",
-                            [this] { return floor_.known ? 1.0 : 0.0; });
+                            [this] { return floor_.Known() ? 1.0 : 0.0; });
 }
 
 template <SpreadingPolicy Policy, ConfigurationRules Rules>
@@ -68,67 +59,44 @@
         },
         datagram->message);
     NoteVersion(ctx, datagram->from, version);
+  } else if (const auto* lost = std::get_if<PeerConnectionLost>(&event)) {
+    HandleLost(ctx, lost->peer);
   }
 }
 
 template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::BeginStart(Context& ctx) {
-  floor_ = {};
-  floor_.since = ctx.Now();
-  if (!Rules::kWaitForFloor) floor_.known = true;
-  UpdateReady(ctx);
-  AskForFloor(ctx);
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::AskForFloor(Context& ctx) {
-  ReadHead(ctx);
-  for (const Address peer : ctx.Settings().peers) {
-    if (peer != ctx.Settings().self) ctx.Send(peer, FloorQuery{});
-  }
-  ctx.SetTimerIn(kStartRetryInterval, TimerKind::kStartRetry);
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::HandleFloorReport(
-    Context& ctx, Address from, const FloorReport& report) {
-  heard_[from] = std::max(heard_[from], report.held);
-  if (floor_.known) return;
-  floor_.reported =
-      std::max({floor_.reported, report.held, report.heard_from_asker});
-  if (report.ready) ++floor_.reports;
+void ConfigurationHolder<Policy, Rules>::HandleLost(Context& ctx,
+                                                    Address peer) {
+  floor_.NoteUnreachable(peer);
   DecideFloor(ctx);
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::DecideFloor(Context& ctx) {
-  if (floor_.known || !floor_.platform_failed || floor_.reports == 0) return;
-  if (ctx.Now() - floor_.since < kFloorWindow) return;
-  SetFloor(ctx, floor_.reported);
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::SetFloor(Context& ctx,
-                                                  uint64_t version) {
-  floor_.known = true;
-  floor_.version = version;
-  ctx.Log(LogTopic::kFloorKnown, {{"version", std::to_string(version)}});
-  UpdateReady(ctx);
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::UpdateReady(Context& ctx) {
-  ctx.Shared().ready = floor_.known && store_.Held()->version >= floor_.version;
+  if (Rules::kAskAnotherPeer && pull_.from == peer) {
+    EndPull(peer);
+    PullFromAnother(ctx);
+  }
 }
 
 template <SpreadingPolicy Policy, ConfigurationRules Rules>
 void ConfigurationHolder<Policy, Rules>::HandleTimer(Context& ctx,
                                                      const TimerFired& timer) {
   switch (timer.kind) {
+    case TimerKind::kTick:
+      DecideFloor(ctx);
+      break;
     case TimerKind::kStartRetry:
+      if (timer.argument != floor_.Round()) break;
       DecideFloor(ctx);
       if (!ctx.Shared().ready) AskForFloor(ctx);
       break;
+    case TimerKind::kPullTimeout:
+      if (timer.argument != pull_.number || !pull_.from.IsSet()) break;
+      counters_.Add(ConfigurationCounter::kPullsUnanswered);
+      EndPull(pull_.from);
+      if (Rules::kAskAnotherPeer) PullFromAnother(ctx);
+      break;
+    case TimerKind::kConfigurationRetry:
+      distrusted_.clear();
+      PullFromAnother(ctx);
+      break;
     case TimerKind::kHeadRead:
       ctx.SetTimerIn(
           std::chrono::milliseconds(ctx.Settings().head_read_interval_ms),
@@ -146,13 +114,17 @@
     Context& ctx, const PeerMessageReceived& received) {
   const Address from = received.from;
   const PeerMessage& message = received.message;
-  if (std::holds_alternative<FloorQuery>(message)) {
+  if (const auto* query = std::get_if<FloorQuery>(&message)) {
     ctx.Send(from, FloorReport{store_.Held()->version, heard_[from],
-                               ctx.Shared().ready});
+                               ctx.Shared().ready, query->round});
   } else if (const auto* report = std::get_if<FloorReport>(&message)) {
     HandleFloorReport(ctx, from, *report);
   } else if (const auto* held = std::get_if<VersionHeld>(&message)) {
-    NoteVersion(ctx, from, held->version);
+    if (held->for_record) {
+      heard_[from] = std::max(heard_[from], held->version);
+    } else {
+      NoteVersion(ctx, from, held->version);
+    }
   } else if (const auto* pull = std::get_if<PullChanges>(&message)) {
     NoteVersion(ctx, from, pull->version);
     ServePull(ctx, from, *pull);
@@ -160,8 +132,13 @@
     TakeChanges(ctx, from, push->changes);
   } else if (const auto* whole = std::get_if<PushSnapshot>(&message)) {
     TakeSnapshot(ctx, from, whole->snapshot);
-  } else if (std::holds_alternative<SnapshotBusy>(message)) {
-    if (pulling_from_ == from) pulling_from_ = {};
+  } else if (const auto* busy = std::get_if<SnapshotBusy>(&message)) {
+    EndPull(from);
+    const uint32_t wait_ms =
+        std::clamp(busy->retry_after_ms, kMinBusyRetryMs, kMaxBusyRetryMs);
+    ctx.SetTimerIn(
+        std::chrono::milliseconds(wait_ms + ctx.RandomBelow(wait_ms)),
+        TimerKind::kConfigurationRetry);
   }
 }
 
@@ -177,14 +154,45 @@
 void ConfigurationHolder<Policy, Rules>::Pull(Context& ctx, Address peer,
                                               bool whole) {
   const bool waiting =
-      pulling_from_.IsSet() && ctx.Now() - pulling_since_ < kPullTimeout;
+      pull_.from.IsSet() && ctx.Now() - pull_.since < kPullTimeout;
   if (waiting || peer == ctx.Settings().self) return;
-  pulling_from_ = peer;
-  pulling_since_ = ctx.Now();
+  if (Rules::kAskAnotherPeer && distrusted_.contains(peer)) return;
+  pull_ = {peer, ctx.Now(), pull_.number + 1};
+  ctx.SetTimerIn(kPullTimeout, TimerKind::kPullTimeout, pull_.number);
   counters_.Add(ConfigurationCounter::kPullsSent);
   ctx.Send(peer, PullChanges{store_.Held()->version, whole});
 }
 
+template <SpreadingPolicy Policy, ConfigurationRules Rules>
+void ConfigurationHolder<Policy, Rules>::PullFromAnother(Context& ctx) {
+  std::vector<Address> ahead;
+  for (const auto& [address, version] : heard_) {
+    if (version <= store_.Held()->version) continue;
+    if (address == ctx.Settings().self || distrusted_.contains(address)) {
+      continue;
+    }
+    const auto it = ctx.Shared().members.find(address);
+    const bool gone = it != ctx.Shared().members.end() &&
+                      it->second.status == MemberStatus::kGone;
+    if (!gone) ahead.push_back(address);
+  }
+  if (!ahead.empty()) {
+    const size_t n = ctx.RandomBelow(static_cast<uint32_t>(ahead.size()));
+    // A second bad delta shows that deltas do not help.
+    Pull(ctx, ahead[n], distrusted_.size() > 1);
+    return;
+  }
+  if (distrusted_.empty()) return;
+  // What the platform has sent counts as sent by this daemon itself.
+  if (!distrusted_.contains(ctx.Settings().self)) ReadHead(ctx);
+  ctx.SetTimerIn(kPullTimeout, TimerKind::kConfigurationRetry);
+}
+
+template <SpreadingPolicy Policy, ConfigurationRules Rules>
+void ConfigurationHolder<Policy, Rules>::EndPull(Address peer) {
+  if (pull_.from == peer) pull_.from = {};
+}
+
 template <SpreadingPolicy Policy, ConfigurationRules Rules>
 void ConfigurationHolder<Policy, Rules>::ServePull(Context& ctx, Address peer,
                                                    const PullChanges& pull) {
@@ -230,10 +238,10 @@
     }
     gap = code == Errc::kVersionGap;
     bad = !gap;
-    if (bad) HoldBack(ctx, change.version, taken.error());
+    if (bad) HoldBack(ctx, from, change.version, taken.error());
     break;
   }
-  if (pulling_from_ == from) pulling_from_ = {};
+  EndPull(from);
   if (!changes.empty()) {
     uint64_t& heard = heard_[from];
     heard = std::max(heard, changes.back().version);
@@ -242,30 +250,41 @@
   if (from != ctx.Settings().self) {
     ctx.Send(from, VersionHeld{store_.Held()->version});
   }
-  if (gap || bad) Pull(ctx, from, bad);
+  if (gap) Pull(ctx, from, false);
+  if (!bad) return;
+  if (Rules::kAskAnotherPeer) {
+    PullFromAnother(ctx);
+  } else {
+    Pull(ctx, from, true);
+  }
 }
 
 template <SpreadingPolicy Policy, ConfigurationRules Rules>
 void ConfigurationHolder<Policy, Rules>::TakeSnapshot(
     Context& ctx, Address from, const Snapshot& snapshot) {
-  if (pulling_from_ == from) pulling_from_ = {};
+  EndPull(from);
   const auto taken = store_.Take(snapshot);
   if (taken) {
     counters_.Add(ConfigurationCounter::kVersionsTaken);
     Adopt(ctx, from);
+    if (from != ctx.Settings().self) {
+      ctx.Send(from, VersionHeld{store_.Held()->version});
+    }
     return;
   }
   if (taken.error().code == Errc::kStaleVersion) {
     counters_.Add(ConfigurationCounter::kStaleIgnored);
     return;
   }
-  HoldBack(ctx, snapshot.version, taken.error());
+  HoldBack(ctx, from, snapshot.version, taken.error());
+  if (Rules::kAskAnotherPeer) PullFromAnother(ctx);
 }
 
 template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::HoldBack(Context& ctx,
+void ConfigurationHolder<Policy, Rules>::HoldBack(Context& ctx, Address from,
                                                   uint64_t version,
                                                   const Failure& failure) {
+  distrusted_.insert(from);
   counters_.Add(ConfigurationCounter::kVersionsHeldBack);
   ctx.Log(LogTopic::kVersionHeldBack,
           {{"version", std::to_string(version)},
@@ -277,10 +296,12 @@
 void ConfigurationHolder<Policy, Rules>::Adopt(Context& ctx, Address from) {
   const uint64_t version = store_.Held()->version;
   ctx.Shared().held = store_.Held();
+  distrusted_.clear();
   UpdateReady(ctx);
   ctx.Log(LogTopic::kVersionHeld, {{"version", std::to_string(version)}});
   ctx.Raise(ConfigurationAdopted{version});
   Spread(ctx, from);
+  TellWitnesses(ctx);
 }
 
 template <SpreadingPolicy Policy, ConfigurationRules Rules>
@@ -303,110 +324,4 @@
   }
 }
 
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-bool ConfigurationHolder<Policy, Rules>::ReadsHead(Context& ctx) const {
-  const auto weight = [](Address address) {
-    return RendezvousWeight(kHeadReaderKey, AddressHash{}(address));
-  };
-  const uint64_t own = weight(ctx.Settings().self);
-  size_t heavier = 0;
-  for (const auto& [address, member] : ctx.Shared().members) {
-    if (member.status != MemberStatus::kAlive) continue;
-    if (member.data_centre != ctx.Settings().data_centre) continue;
-    if (weight(address) > own) ++heavier;
-  }
-  return heavier < kHeadReaders;
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::ReadHead(Context& ctx) {
-  if (head_tag_) return;
-  counters_.Add(ConfigurationCounter::kHeadReads);
-  head_tag_ = ctx.Shared().platform->Submit(ctx, PlatformPriority::kRefresh,
-                                            ReadRows{{kHeadKey, kSnapshotKey}});
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::HandlePlatform(
-    Context& ctx, const PlatformReplied& replied) {
-  if (head_tag_ == replied.tag) {
-    head_tag_.reset();
-    HandleHead(ctx, replied.reply);
-  } else if (catch_up_tag_ == replied.tag) {
-    catch_up_tag_.reset();
-    HandleCatchUp(ctx, replied.reply);
-  } else if (snapshot_tag_ == replied.tag) {
-    snapshot_tag_.reset();
-    latest_snapshot_ = 0;
-    if (!replied.reply.object) return;
-    const auto snapshot = Decode<Snapshot>(*replied.reply.object);
-    if (!snapshot) return;
-    TakeSnapshot(ctx, ctx.Settings().self, *snapshot);
-    CatchUpFromPlatform(ctx, catch_up_head_);
-  }
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::HandleHead(
-    Context& ctx, const PlatformReply& reply) {
-  if (reply.status != PlatformStatus::kOk) {
-    floor_.platform_failed = true;
-    DecideFloor(ctx);
-    return;
-  }
-  const auto snapshot = reply.rows.find(kSnapshotKey);
-  if (snapshot != reply.rows.end()) {
-    const auto row = Decode<SnapshotRow>(snapshot->second);
-    if (row) latest_snapshot_ = row->version;
-  }
-  const auto it = reply.rows.find(kHeadKey);
-  HandleHeadRow(ctx, it == reply.rows.end() ? Encode(HeadRow{}) : it->second);
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::HandleHeadRow(Context& ctx,
-                                                       const std::string& row) {
-  const auto head = Decode<HeadRow>(row);
-  if (!head) return;
-  if (!floor_.known) SetFloor(ctx, head->version);
-  if (head->version > store_.Held()->version) CatchUpFromPlatform(ctx, *head);
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::CatchUpFromPlatform(
-    Context& ctx, const HeadRow& head) {
-  const uint64_t held = store_.Held()->version;
-  if (head.version <= held || catch_up_tag_ || snapshot_tag_) return;
-  counters_.Add(ConfigurationCounter::kPlatformCatchUps);
-  catch_up_head_ = head;
-  PlatformQueue& platform = *ctx.Shared().platform;
-  if (latest_snapshot_ > held) {
-    snapshot_tag_ = platform.Submit(ctx, PlatformPriority::kRefresh,
-                                    GetObject{SnapshotName(latest_snapshot_)});
-    return;
-  }
-  ReadRows read;
-  const uint64_t last = std::min(head.version, held + kCatchUpRows);
-  for (uint64_t version = held + 1; version <= last; ++version) {
-    read.keys.push_back(ChangeKey(version));
-  }
-  catch_up_tag_ =
-      platform.Submit(ctx, PlatformPriority::kRefresh, std::move(read));
-}
-
-template <SpreadingPolicy Policy, ConfigurationRules Rules>
-void ConfigurationHolder<Policy, Rules>::HandleCatchUp(
-    Context& ctx, const PlatformReply& reply) {
-  if (reply.status != PlatformStatus::kOk) return;
-  std::vector<Change> changes;
-  for (const auto& [key, value] : reply.rows) {
-    auto change = Decode<Change>(value);
-    if (!change) break;
-    changes.push_back(std::move(*change));
-  }
-  if (changes.empty()) return;
-  TakeChanges(ctx, ctx.Settings().self, changes);
-  CatchUpFromPlatform(ctx, catch_up_head_);
-}
-
 }  // namespace buckthorncart
--- a/Source/Plugins/configuration_rows.h
+++ b/Source/Plugins/configuration_rows.h
@@ -39,7 +39,7 @@
 /// "change/000000000042"; sorts by version.
 std::string ChangeKey(uint64_t version);
 std::string OperationKey(const std::string& operation_id);
-/// Name of a snapshot object.
-std::string SnapshotName(uint64_t version);
+/// Name of a snapshot object: "snapshot/000000000042-00f3…", digest in hex.
+std::string SnapshotName(const SnapshotRow& row);
 
 }  // namespace buckthorncart
--- a/Source/Plugins/configuration_rules.h
+++ b/Source/Plugins/configuration_rules.h
@@ -15,6 +15,11 @@
   { R::kValidateWhole } -> std::convertible_to<bool>;
   { R::kWaitForFloor } -> std::convertible_to<bool>;
   { R::kReadHead } -> std::convertible_to<bool>;
+  { R::kFloorOfAllPeers } -> std::convertible_to<bool>;
+  { R::kFreshFloorOnly } -> std::convertible_to<bool>;
+  { R::kTellWitnesses } -> std::convertible_to<bool>;
+  { R::kAskAnotherPeer } -> std::convertible_to<bool>;
+  { R::kFallBackToChanges } -> std::convertible_to<bool>;
 };
 
 struct StandardConfigurationRules {
@@ -28,6 +33,18 @@
   static constexpr bool kWaitForFloor = true;
   /// Changes that no peer spreads are found on the platform.
   static constexpr bool kReadHead = true;
+  /// With the platform down the floor waits for every peer that can report,
+  /// not for the first one alone.
+  static constexpr bool kFloorOfAllPeers = true;
+  /// Answers to questions from before a freeze do not set the floor.
+  static constexpr bool kFreshFloorOnly = true;
+  /// Chosen peers are told of each version that is taken, so that they can
+  /// tell a restarted daemon at the same address.
+  static constexpr bool kTellWitnesses = true;
+  /// After a bad or missing answer another peer is asked.
+  static constexpr bool kAskAnotherPeer = true;
+  /// A missing or bad snapshot object is replaced by the rows of changes.
+  static constexpr bool kFallBackToChanges = true;
 };
 
 }  // namespace buckthorncart
--- /dev/null
+++ b/Source/Plugins/operation_lookup.cc
@@ -0,0 +1,99 @@
+#include "Plugins/operation_lookup.h"
+
+#include <memory>
+#include <utility>
+
+#include "Config/value_parsers.h"
+#include "Kernel/context.h"
+#include "Kernel/platform_queue.h"
+#include "Kernel/plugin_registry.h"
+#include "Kernel/url_query.h"
+#include "Plugins/configuration_rows.h"
+#include "Plugins/operation_answers.h"
+#include "Wire/codec.h"
+
+namespace buckthorncart {
+namespace {
+
+const PluginRegistration kRegistration(
+    PluginRank::kAcceptance, [](const KernelSettings& /*settings*/) {
+      return std::make_unique<OperationLookup>();
+    });
+
+constexpr std::string_view kOperationsPath = "/v1/operations/";
+
+}  // namespace
+
+void OperationLookup::Attach(Context& /*ctx*/) {}
+
+void OperationLookup::Handle(Context& ctx, const Event& event) {
+  const auto* replied = std::get_if<PlatformReplied>(&event);
+  if (replied == nullptr) return;
+  const auto it = questions_.find(replied->tag);
+  if (it == questions_.end()) return;
+  const Question question = it->second;
+  questions_.erase(it);
+  HandleAnswer(ctx, question, replied->reply);
+}
+
+bool OperationLookup::HandleOperator(Context& ctx,
+                                     const OperatorRequested& request) {
+  const Url url = ParseUrl(request.http.path);
+  if (!url.path.starts_with(kOperationsPath)) return false;
+  const std::string id = url.path.substr(kOperationsPath.size());
+  const bool settle = url.Get("settle") == "yes";
+  if (!IsName(id)) {
+    ctx.AnswerFailure(request.request, OperationStatus(Errc::kInvalidValue),
+                      {Errc::kInvalidValue, "operation " + id,
+                       "1 to 64 of a-z A-Z 0-9 - _ .", "correct the id"});
+    return true;
+  }
+  const std::string key = OperationKey(id);
+  PlatformRequest question = ReadRows{{key}};
+  if (settle) {
+    question =
+        Transaction{{{key, std::nullopt}}, {{key, Encode(OperationRow{0, 0})}}};
+  }
+  const auto tag = ctx.Shared().platform->Submit(
+      ctx, PlatformPriority::kOperator, std::move(question));
+  if (tag) {
+    questions_[*tag] = {request.request, id, settle};
+    return true;
+  }
+  ctx.AnswerFailure(request.request, OperationStatus(Errc::kQueueFull),
+                    {Errc::kQueueFull, "requests to the platform",
+                     "room in the queue", "try again"});
+  return true;
+}
+
+void OperationLookup::HandleAnswer(Context& ctx, const Question& question,
+                                   const PlatformReply& reply) {
+  const auto row = reply.rows.find(OperationKey(question.id));
+  nlohmann::ordered_json body = {{"operation", question.id}};
+  if (row != reply.rows.end()) {
+    const auto outcome = Decode<OperationRow>(row->second);
+    const uint64_t version = outcome ? outcome->version : 0;
+    body["result"] = version == 0 ? "withdrawn" : "accepted";
+    if (version != 0) body["version"] = version;
+    ctx.AnswerJson(question.request, 200, body.dump() + "\n");
+    return;
+  }
+  if (reply.status != PlatformStatus::kOk) {
+    ctx.AnswerFailure(question.request,
+                      OperationStatus(Errc::kPlatformUnavailable),
+                      {Errc::kPlatformUnavailable, "operation " + question.id,
+                       "an available table service", "ask again later"});
+    return;
+  }
+  if (question.settle) {
+    body["result"] = "withdrawn";
+    ctx.AnswerJson(question.request, 200, body.dump() + "\n");
+    return;
+  }
+  ctx.AnswerFailure(question.request, 404,
+                    {Errc::kUnknownOperation, "operation " + question.id,
+                     "the id of an accepted operation",
+                     "add --settle to withdraw it for good"});
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Plugins/snapshot_writer.h
@@ -0,0 +1,61 @@
+#pragma once
+/// \file
+/// Writes whole snapshots to the platform's object store.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Config/snapshot.h"
+#include "Kernel/counters.h"
+#include "Kernel/plugin.h"
+#include "Plugins/configuration_rows.h"
+
+namespace buckthorncart {
+
+struct PlatformReply;
+
+enum class SnapshotCounter : uint8_t { kWritten, kFailed, kWrittenByOthers };
+
+template <>
+struct EnumNames<SnapshotCounter> {
+  static constexpr std::string_view kNames[] = {
+      "configuration_snapshots_written_total",
+      "configuration_snapshot_writes_failed_total",
+      "configuration_snapshots_written_by_others_total"};
+};
+
+/// Once in `snapshot_every` versions one daemon, chosen by rendezvous hash
+/// among the live ones, writes what it holds and then points the row
+/// `snapshot` at it. The load is one read, one object and one transaction in
+/// so many versions, whatever the number of daemons. A daemon that dies before
+/// it is done is replaced once membership takes it as gone.
+class SnapshotWriter : public Plugin {
+ public:
+  void Attach(Context& ctx) override;
+  void Handle(Context& ctx, const Event& event) override;
+
+ private:
+  enum class Step : uint8_t { kIdle, kReadRow, kPutObject, kWriteRow };
+
+  void Consider(Context& ctx);
+  bool IsOwner(Context& ctx, uint64_t block) const;
+  void HandleReply(Context& ctx, const PlatformReply& reply);
+  void HandleRow(Context& ctx, const PlatformReply& reply);
+  void WriteRow(Context& ctx);
+  void Finish(bool written);
+
+  Step step_ = Step::kIdle;
+  std::optional<uint64_t> tag_;
+  /// Version that is being written, divided by `snapshot_every`.
+  uint64_t block_ = 0;
+  /// Highest block that is known to be written.
+  uint64_t written_block_ = 0;
+  SnapshotPtr snapshot_;
+  /// Encoded row before the write; absent while there is none.
+  std::optional<std::string> old_row_;
+  Counters<SnapshotCounter> counters_;
+};
+
+}  // namespace buckthorncart
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -65,12 +65,16 @@
 /// Tells that the sender holds `version`.
 struct VersionHeld {
   uint64_t version = 0;
-  MSGPACK_DEFINE(version)
+  /// Only to be remembered for a later `FloorQuery` of the sender's address.
+  bool for_record = false;
+  MSGPACK_DEFINE(version, for_record)
 };
 
 /// Asks which versions are known, by a daemon that starts.
 struct FloorQuery {
-  MSGPACK_DEFINE()
+  /// Number of the start among those of the sender's process.
+  uint64_t round = 0;
+  MSGPACK_DEFINE(round)
 };
 
 struct FloorReport {
@@ -80,7 +84,9 @@
   uint64_t heard_from_asker = 0;
   /// False while the sender does not know its own floor.
   bool ready = false;
-  MSGPACK_DEFINE(held, heard_from_asker, ready)
+  /// Repeats the round of the query.
+  uint64_t round = 0;
+  MSGPACK_DEFINE(held, heard_from_asker, ready, round)
 };
 
 // Membership.
