--- a/Source/Plugins/configuration_catch_up_inl.h
+++ b/Source/Plugins/configuration_catch_up_inl.h
@@ -77,7 +77,10 @@
   const std::string row =
       it == reply.rows.end() ? Encode(HeadRow{}) : it->second;
   const auto head = Decode<HeadRow>(row);
-  if (head && !floor_.Known()) SetFloor(ctx, head->version);
+  // Nobody can have held more than `head`: a higher report was an error.
+  const bool sets_floor =
+      head && (!floor_.Known() || head->version < floor_.Version());
+  if (sets_floor) SetFloor(ctx, head->version);
   HandleHeadRow(ctx, row);
 }
 
--- a/Source/Plugins/configuration_holder.h
+++ b/Source/Plugins/configuration_holder.h
@@ -125,6 +125,8 @@
   PullState pull_;
   /// Peers that sent something bad since the last version was taken.
   std::set<Address> distrusted_;
+  /// Versions held back since the last one was taken.
+  uint32_t held_back_ = 0;
   std::optional<uint64_t> head_tag_;
   std::optional<uint64_t> catch_up_tag_;
   std::optional<uint64_t> snapshot_tag_;
--- a/Source/Plugins/configuration_holder_inl.h
+++ b/Source/Plugins/configuration_holder_inl.h
@@ -11,6 +11,8 @@
 namespace buckthorncart {
 
 inline constexpr Duration kPullTimeout = 1s;
+/// Bound on the doublings of the wait after something bad, to 8 s.
+inline constexpr uint32_t kMaxRetryDoublings = 3;
 /// Whole snapshots served in a second, so that a herd of starting daemons
 /// does not take all of the loop.
 inline constexpr uint32_t kSnapshotsEachSecond = 20;
@@ -160,7 +162,9 @@
   pull_ = {peer, ctx.Now(), pull_.number + 1};
   ctx.SetTimerIn(kPullTimeout, TimerKind::kPullTimeout, pull_.number);
   counters_.Add(ConfigurationCounter::kPullsSent);
-  ctx.Send(peer, PullChanges{store_.Held()->version, whole});
+  // A second bad delta shows that deltas do not help.
+  const bool ask_whole = whole || held_back_ > 1;
+  ctx.Send(peer, PullChanges{store_.Held()->version, ask_whole});
 }
 
 template <SpreadingPolicy Policy, ConfigurationRules Rules>
@@ -178,14 +182,15 @@
   }
   if (!ahead.empty()) {
     const size_t n = ctx.RandomBelow(static_cast<uint32_t>(ahead.size()));
-    // A second bad delta shows that deltas do not help.
-    Pull(ctx, ahead[n], distrusted_.size() > 1);
+    Pull(ctx, ahead[n], false);
     return;
   }
   if (distrusted_.empty()) return;
   // What the platform has sent counts as sent by this daemon itself.
   if (!distrusted_.contains(ctx.Settings().self)) ReadHead(ctx);
-  ctx.SetTimerIn(kPullTimeout, TimerKind::kConfigurationRetry);
+  const uint32_t doublings = std::min(held_back_, kMaxRetryDoublings);
+  ctx.SetTimerIn(kPullTimeout * (1U << doublings),
+                 TimerKind::kConfigurationRetry);
 }
 
 template <SpreadingPolicy Policy, ConfigurationRules Rules>
@@ -242,7 +247,7 @@
     break;
   }
   EndPull(from);
-  if (!changes.empty()) {
+  if (!changes.empty() && !bad) {
     uint64_t& heard = heard_[from];
     heard = std::max(heard, changes.back().version);
   }
@@ -285,6 +290,7 @@
                                                   uint64_t version,
                                                   const Failure& failure) {
   distrusted_.insert(from);
+  ++held_back_;
   counters_.Add(ConfigurationCounter::kVersionsHeldBack);
   ctx.Log(LogTopic::kVersionHeldBack,
           {{"version", std::to_string(version)},
@@ -297,6 +303,7 @@
   const uint64_t version = store_.Held()->version;
   ctx.Shared().held = store_.Held();
   distrusted_.clear();
+  held_back_ = 0;
   UpdateReady(ctx);
   ctx.Log(LogTopic::kVersionHeld, {{"version", std::to_string(version)}});
   ctx.Raise(ConfigurationAdopted{version});
--- /dev/null
+++ b/Tests/Configuration/references_test.cc
@@ -0,0 +1,135 @@
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "Support/configuration_plugins.h"
+#include "Support/version_watch.h"
+
+namespace buckthorncart {
+namespace {
+
+struct TakesInvalid : StandardConfigurationRules {
+  static constexpr bool kValidateWhole = false;
+};
+struct AcceptsInvalid : StandardAcceptanceRules {
+  static constexpr bool kValidateWhole = false;
+};
+
+/// Two services with a backend server each, and a route to the first.
+struct RoutedFleet {
+  explicit RoutedFleet(FakeFleet::PluginFactory plugins = PluginsWith<>)
+      : fleet(std::move(plugins)), watch(fleet) {
+    for (const uint32_t n : {1U, 2U, 3U}) {
+      fleet.Add(n, n == 3 ? "nl-west-b" : "nl-west-a");
+    }
+    fleet.Announce(1, "old");
+    fleet.Announce(2, "new");
+    fleet.StartAll();
+    fleet.Advance(3s);
+    Apply("create service old; create route r path=/r service=old");
+    fleet.Advance(2s);
+  }
+  nlohmann::json Apply(const std::string& text) {
+    return nlohmann::json::parse(fleet.Ask(3, "POST", "/v1/changes", text));
+  }
+  void CallAll() {
+    for (const uint32_t n : {1U, 2U, 3U}) {
+      calls.push_back(fleet.Call(n, {"GET", "/r/x", {}, ""}));
+    }
+  }
+  /// Calls whose answer is not complete with status 200.
+  uint64_t CallsWithout200() {
+    uint64_t n = 0;
+    for (const uint64_t call : calls) {
+      const AnswerPart& answer = fleet.CallerAnswers()[call];
+      if (answer.status != 200 || answer.end != AnswerEnd::kComplete) ++n;
+    }
+    return n;
+  }
+  FakeFleet fleet;
+  VersionWatch watch;
+  std::vector<uint64_t> calls;
+};
+
+TEST_CASE("references: a service in use is not deleted, requests go on") {
+  RoutedFleet test;
+  test.CallAll();
+  const auto answer = test.Apply("delete service old");
+  CHECK(answer["error"] == "service-in-use");
+  CHECK(answer["subject"] == "service old <- route r");
+  test.CallAll();
+  test.fleet.Advance(3s);
+  CHECK(test.CallsWithout200() == 0);
+  CHECK(test.watch.Clean());
+}
+
+TEST_CASE("references: a route moves to a service of the same change") {
+  RoutedFleet test;
+  test.fleet.Behaviours()[1].time = 800ms;
+  test.CallAll();  // These run at the old service while it is deleted.
+  test.fleet.Advance(10ms);
+  const auto answer = test.Apply(
+      "create service new; change route r service=new; delete service old");
+  CHECK(answer["result"] == "accepted");
+  test.fleet.Advance(100ms);
+  test.CallAll();
+  test.fleet.Advance(3s);
+  CHECK(test.CallsWithout200() == 0);
+  CHECK(test.fleet.RunsAt(1) == 3);
+  CHECK(test.fleet.RunsAt(2) == 3);
+  CHECK(test.watch.Clean());
+  for (const uint32_t n : {1U, 2U, 3U}) CHECK(test.fleet.At(n).Version() == 2);
+}
+
+TEST_CASE("references: in any order of edits within the change") {
+  RoutedFleet test;
+  const auto answer = test.Apply(
+      "delete service old; change route r service=new; create service new");
+  CHECK(answer["result"] == "accepted");
+  test.fleet.Advance(2s);
+  CHECK(test.watch.Clean());
+}
+
+/// A daemon without the rule has accepted the deletion of a used service; its
+/// change row and pushes are in order but for the dangling route.
+template <ConfigurationRules Rules>
+struct InjectedFleet {
+  InjectedFleet()
+      : test([](const KernelSettings& settings) {
+          return settings.self.ip % 256 == 3
+                     ? PluginsWith<TakesInvalid, AcceptsInvalid>(settings)
+                     : PluginsWith<Rules>(settings);
+        }) {
+    REQUIRE(test.Apply("delete service old")["result"] == "accepted");
+    test.fleet.Advance(10s);
+  }
+  uint64_t DanglingAt(uint32_t n) {
+    const Snapshot& held = *test.fleet.At(n).GetContext().Shared().held;
+    return held.configuration.Validate().size();
+  }
+  RoutedFleet test;
+};
+
+TEST_CASE("references: a bad version is held back whole everywhere") {
+  InjectedFleet<StandardConfigurationRules> run;
+  CHECK(run.DanglingAt(3) == 1);  // The daemon without the rule.
+  for (const uint32_t n : {1U, 2U}) {
+    CHECK(run.DanglingAt(n) == 0);
+    CHECK(run.test.fleet.At(n).Version() == 1);
+    CHECK(run.test.fleet.At(n).Counter(
+              "configuration_versions_held_back_total") > 0);
+  }
+  // The next good version is taken, as a whole.
+  REQUIRE(run.test.Apply("create service old")["result"] == "accepted");
+  run.test.fleet.Advance(20s);
+  for (const uint32_t n : {1U, 2U}) CHECK(run.test.fleet.At(n).Version() == 3);
+}
+
+TEST_CASE("references: control: without the rule a route dangles") {
+  InjectedFleet<TakesInvalid> run;
+  CHECK(run.DanglingAt(1) == 1);
+  CHECK(run.DanglingAt(2) == 1);
+}
+
+}  // namespace
+}  // namespace buckthorncart
--- a/Tests/Configuration/start_test.cc
+++ b/Tests/Configuration/start_test.cc
@@ -160,6 +160,39 @@
   CHECK(fleet.At(1).Version() == 1);
 }
 
+TEST_CASE("start: a bad delta does not raise the floor of its sender") {
+  StartFleet test(PluginsWith<>);
+  FakeFleet& fleet = test.fleet;
+  REQUIRE(test.Apply(1, "create service a") == "accepted");
+  fleet.Advance(3s);
+  fleet.Kill(2);
+  fleet.SetPlatformFault(PlatformFault::kDown);
+  const Change bad{2, "bad", {}, 1, 0};
+  fleet.Inject(
+      1, PeerMessageReceived{TestSettings(2, "").self, PushChanges{{bad}}});
+  fleet.Restart(2);
+  fleet.Advance(15s);
+  CHECK(fleet.At(2).Ready());
+  CHECK(fleet.At(2).Version() == 1);
+}
+
+TEST_CASE("start: head lowers a floor that no version reaches") {
+  StartFleet test(PluginsWith<>);
+  FakeFleet& fleet = test.fleet;
+  REQUIRE(test.Apply(1, "create service a") == "accepted");
+  fleet.Advance(3s);
+  fleet.Kill(2);
+  fleet.SetPlatformFault(PlatformFault::kDown);
+  fleet.Inject(
+      1, PeerMessageReceived{TestSettings(2, "").self, VersionHeld{7, true}});
+  fleet.Restart(2);
+  fleet.Advance(15s);
+  CHECK(!fleet.At(2).Ready());
+  fleet.SetPlatformFault(PlatformFault::kNone);
+  fleet.Advance(15s);
+  CHECK(fleet.At(2).Ready());
+}
+
 TEST_CASE("start: all at once with the platform up") {
   StartFleet test(PluginsWith<>);
   FakeFleet& fleet = test.fleet;
--- a/Tests/Support/fake_fleet.h
+++ b/Tests/Support/fake_fleet.h
@@ -56,6 +56,9 @@
   void Freeze(uint32_t n) { frozen_.insert(n); }
   void Thaw(uint32_t n);
 
+  /// Delivers `event` to daemon `n` at once, as if the network had.
+  void Inject(uint32_t n, const Event& event) { DeliverNow(n, event); }
+
   FakeDaemon& At(uint32_t n) { return *daemons_.at(n); }
   std::vector<uint32_t> Numbers() const;
 
