Mend membership under pauses, partitions, lost gossip and dead VMs

Cause, by reading against SWIM and shown by a control for each rule: - A paused daemon's probe timers ran out while it could not read the acks, so it accused others. Probes and suspicions now do not count a gap of 500 ms or more between two events of the own loop. - After a partition both sides held each other as gone, and the accusation reached its subject only by the 5 s reconnect probe of the one side that held it. Every probe and ack now carries the record of a receiver that is not held as alive, and an ack that is refuted is answered by a probe. - A leaving member that ended stayed leaving for ever; it now expires. - An update whose gossip was lost stayed lost. Probes carry a digest of the table; after 5 s without an equal peer the records of differing buckets (64 of them) are pulled over UDP, one request in 2 s at most. - Gone members, scanned addresses and rows vm/ADDRESS stayed for ever. They are forgotten after an hour; two daemons delete the row.

Ruled out: a full pull of the table on contact, which opens a connection and costs 54 KB at 770 daemons.

The gossip of the start is the next to mend.

--- a/Source/Plugins/membership.h
+++ b/Source/Plugins/membership.h
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string_view>
 #include <vector>
 
@@ -17,6 +16,8 @@
 #include "Base/time.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
+#include "Plugins/membership_digests.h"
+#include "Plugins/membership_rules.h"
 #include "Plugins/update_queue.h"
 #include "Wire/datagrams.h"
 #include "Wire/member.h"
@@ -31,7 +32,9 @@
   kSuspicions,
   kRefutations,
   kMembersGone,
-  kFullPulls,
+  kTablePulls,
+  kPauses,
+  kMembersForgotten,
 };
 
 template <>
@@ -39,9 +42,13 @@
   static constexpr std::string_view kNames[] = {
       "membership_probes_total",       "membership_probes_unanswered_total",
       "membership_suspicions_total",   "membership_refutations_total",
-      "membership_members_gone_total", "membership_full_pulls_total"};
+      "membership_members_gone_total", "membership_table_pulls_total",
+      "membership_pauses_total",       "membership_members_forgotten_total"};
 };
 
+/// Beside SWIM: tables of two daemons are compared by digests on probes, so
+/// that lost updates are repaired; members gone for long are forgotten.
+template <MembershipRules Rules>
 class Membership : public Plugin {
  public:
   void Attach(Context& ctx) override;
@@ -57,6 +64,7 @@
   };
 
   void Start(Context& ctx, uint64_t wall_ms);
+  void ForgivePause(Context& ctx);
   void HandleTimer(Context& ctx, const TimerFired& timer);
   void HandleDatagram(Context& ctx, const DatagramReceived& received);
   void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
@@ -64,32 +72,50 @@
 
   void AnnounceToPlatform(Context& ctx);
   void Join(Context& ctx);
+  void Rejoin(Context& ctx);
   void ProbeNext(Context& ctx);
   void SendProbe(Context& ctx, Address target, PendingProbe pending);
   void ProbeIndirectly(Context& ctx, uint64_t sequence);
   void EndProbe(Context& ctx, uint64_t sequence);
   void ExpireSuspects(Context& ctx);
+  void ForgetLost(Context& ctx);
+  void DeleteAnnouncement(Context& ctx, Address address);
   void HandleAck(Context& ctx, const ProbeAck& ack);
-  void NoteContact(Context& ctx, Address from);
+  bool TakeGossip(Context& ctx, Address from, const Gossip& gossip);
+  void CompareTables(Context& ctx, Address from, const Gossip& gossip);
+  void PullTable(Context& ctx, Address from);
+  void ServeDigests(Context& ctx, Address from, const MemberDigests& asked);
   void Merge(Context& ctx, const Member& member);
   void RefuteIfNeeded(Context& ctx, const Member& rumour);
   void Store(Context& ctx, const Member& member);
   void SetStatus(Context& ctx, Address address, MemberStatus status);
   void UpdateSelf(Context& ctx);
   void Leave(Context& ctx);
-  Gossip MakeGossip(Context& ctx);
-  std::vector<Member> AllMembers(Context& ctx) const;
+  Gossip MakeGossip(Context& ctx, Address to);
+  const MemberBuckets& Buckets(Context& ctx);
+  std::vector<Member> MembersFor(Context& ctx, Address asker) const;
   Address NextTarget(Context& ctx);
 
   UpdateQueue updates_;
   std::map<uint64_t, PendingProbe> pending_;
   std::map<Address, Time> suspected_at_;
   std::vector<Address> probe_order_;
-  std::set<Address> join_candidates_;
+  /// Addresses that may be daemons, with the time of hearing of them.
+  std::map<Address, Time> join_candidates_;
+  std::map<Address, Time> gone_at_;
+  /// Digests of the table; stale after each change of it.
+  MemberBuckets buckets_{};
+  bool buckets_stale_ = true;
   uint64_t next_sequence_ = 0;
   uint64_t scan_tag_ = 0;
   Time last_pull_{};
+  /// Last time that a peer had the same table.
+  Time last_match_{};
+  Time last_event_{};
   Counters<MembershipCounter> counters_;
 };
 
 }  // namespace buckthorncart
+
+#include "Plugins/membership_inl.h"
+#include "Plugins/membership_table_inl.h"
--- /dev/null
+++ b/Source/Plugins/membership_inl.h
@@ -0,0 +1,323 @@
+#pragma once
+/// \file
+/// Failure detection of `Membership`; include membership.h.
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "Kernel/context.h"
+#include "Kernel/platform_queue.h"
+#include "Plugins/membership.h"
+#include "Wire/codec.h"
+
+namespace buckthorncart {
+
+/// Daemons that a probe is repeated through, and that are asked when joining.
+inline constexpr size_t kIndirectProbes = 3;
+inline constexpr Duration kRejoinInterval = 1s;
+/// Interval of attempts to reach a member that is taken as gone.
+inline constexpr Duration kReconnectInterval = 5s;
+/// Time without an event after which the own loop counts as held up; the
+/// kernel ticks more often.
+inline constexpr Duration kPauseLimit = 500ms;
+inline constexpr uint32_t kScanLimit = 2'000;
+inline constexpr std::string_view kAnnouncementPrefix = "vm/";
+
+inline std::string AnnouncementKey(Address address) {
+  return std::string(kAnnouncementPrefix) + address.ToString();
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::Attach(Context& ctx) {
+  ctx.AllMetrics().Add(&counters_);
+  Directory& shared = ctx.Shared();
+  ctx.AllMetrics().AddGauge("members", [&shared] {
+    return static_cast<double>(shared.members.size() + 1);
+  });
+  for (const Address peer : ctx.Settings().peers) {
+    join_candidates_.emplace(peer, Time{});
+  }
+  join_candidates_.erase(ctx.Settings().self);
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::Handle(Context& ctx, const Event& event) {
+  ForgivePause(ctx);
+  if (const auto* started = std::get_if<Started>(&event)) {
+    Start(ctx, started->wall_ms);
+  } else if (const auto* timer = std::get_if<TimerFired>(&event)) {
+    HandleTimer(ctx, *timer);
+  } else if (const auto* datagram = std::get_if<DatagramReceived>(&event)) {
+    HandleDatagram(ctx, *datagram);
+  } else if (const auto* message = std::get_if<PeerMessageReceived>(&event)) {
+    HandlePeerMessage(ctx, *message);
+  } else if (const auto* replied = std::get_if<PlatformReplied>(&event)) {
+    if (replied->tag == scan_tag_) HandleScan(ctx, replied->reply);
+  } else if (const auto* backend = std::get_if<LocalBackendChanged>(&event)) {
+    ctx.Shared().self.backend = backend->backend;
+    UpdateSelf(ctx);
+  } else if (std::holds_alternative<DrainStarted>(event)) {
+    Leave(ctx);
+  }
+}
+
+/// Probes and suspicions that ran while this daemon itself did not prove
+/// nothing about the others.
+template <MembershipRules Rules>
+void Membership<Rules>::ForgivePause(Context& ctx) {
+  const Duration gap = ctx.Now() - std::exchange(last_event_, ctx.Now());
+  if (!Rules::kForgivePause || gap < kPauseLimit || gap == ctx.Now()) return;
+  counters_.Add(MembershipCounter::kPauses);
+  pending_.clear();
+  for (auto& [address, since] : suspected_at_) since += gap;
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::Start(Context& ctx, uint64_t wall_ms) {
+  Member& self = ctx.Shared().self;
+  self.address = ctx.Settings().self;
+  self.data_centre = ctx.Settings().data_centre;
+  self.incarnation = wall_ms;
+  UpdateSelf(ctx);
+  AnnounceToPlatform(ctx);
+  Join(ctx);
+  const Duration period =
+      std::chrono::milliseconds(ctx.Settings().probe_period_ms);
+  // Probes of daemons that start together are spread over a period.
+  const Duration offset(ctx.RandomBelow(static_cast<uint32_t>(period.count())));
+  ctx.SetTimerIn(offset, TimerKind::kProbe);
+  ctx.SetTimerIn(kRejoinInterval, TimerKind::kRejoin);
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::AnnounceToPlatform(Context& ctx) {
+  PlatformQueue& platform = *ctx.Shared().platform;
+  const Member& self = ctx.Shared().self;
+  platform.Submit(
+      ctx, PlatformPriority::kRefresh,
+      Transaction{{}, {{AnnouncementKey(self.address), Encode(self)}}});
+  const auto tag = platform.Submit(
+      ctx, PlatformPriority::kRefresh,
+      ScanRows{std::string(kAnnouncementPrefix), "", kScanLimit});
+  scan_tag_ = tag.value_or(0);
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::HandleScan(Context& ctx, const PlatformReply& reply) {
+  if (reply.status != PlatformStatus::kOk) return;
+  for (const auto& [key, value] : reply.rows) {
+    const auto address = Address::Parse(
+        std::string_view(key).substr(kAnnouncementPrefix.size()));
+    if (!address || *address == ctx.Settings().self) continue;
+    join_candidates_.emplace(*address, ctx.Now());
+  }
+  if (ctx.Shared().members.empty()) Join(ctx);
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::Join(Context& ctx) {
+  // A few candidates suffice: each answers with all that it knows.
+  std::vector<Address> candidates;
+  for (const auto& [address, since] : join_candidates_) {
+    candidates.push_back(address);
+  }
+  for (size_t i = 0; i < kIndirectProbes && !candidates.empty(); ++i) {
+    const size_t n = ctx.RandomBelow(static_cast<uint32_t>(candidates.size()));
+    ctx.Send(candidates[n], PullMembers{});
+    candidates.erase(candidates.begin() + static_cast<ptrdiff_t>(n));
+  }
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::HandleTimer(Context& ctx, const TimerFired& timer) {
+  switch (timer.kind) {
+    case TimerKind::kTick:
+      ExpireSuspects(ctx);
+      if (Rules::kForgetGone) ForgetLost(ctx);
+      break;
+    case TimerKind::kProbe:
+      ctx.SetTimerIn(std::chrono::milliseconds(ctx.Settings().probe_period_ms),
+                     TimerKind::kProbe);
+      ProbeNext(ctx);
+      break;
+    case TimerKind::kProbeTimeout:
+      ProbeIndirectly(ctx, timer.argument);
+      break;
+    case TimerKind::kProbePeriodEnd:
+      EndProbe(ctx, timer.argument);
+      break;
+    case TimerKind::kRejoin:
+      Rejoin(ctx);
+      break;
+    default:
+      break;
+  }
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::Rejoin(Context& ctx) {
+  const auto& members = ctx.Shared().members;
+  ctx.SetTimerIn(members.empty() ? kRejoinInterval : kReconnectInterval,
+                 TimerKind::kRejoin);
+  if (members.empty()) {
+    Join(ctx);
+    return;
+  }
+  // Reaches members on the other side of a healed partition.
+  std::vector<Address> lost;
+  for (const auto& [address, at] : gone_at_) lost.push_back(address);
+  for (const auto& [candidate, since] : join_candidates_) {
+    if (!members.contains(candidate)) lost.push_back(candidate);
+  }
+  if (lost.empty()) return;
+  const Address target =
+      lost[ctx.RandomBelow(static_cast<uint32_t>(lost.size()))];
+  SendProbe(ctx, target, {target, {}, 0});
+}
+
+template <MembershipRules Rules>
+Address Membership<Rules>::NextTarget(Context& ctx) {
+  const auto& members = ctx.Shared().members;
+  while (true) {
+    if (probe_order_.empty()) {
+      for (const auto& [address, member] : members) {
+        if (member.status == MemberStatus::kGone) continue;
+        probe_order_.push_back(address);
+      }
+      if (probe_order_.empty()) return {};
+      std::shuffle(probe_order_.begin(), probe_order_.end(), ctx.Random());
+    }
+    const Address target = probe_order_.back();
+    probe_order_.pop_back();
+    const auto it = members.find(target);
+    if (it == members.end() || it->second.status == MemberStatus::kGone) {
+      continue;
+    }
+    return target;
+  }
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::ProbeNext(Context& ctx) {
+  const Address target = NextTarget(ctx);
+  if (!target.IsSet()) return;
+  SendProbe(ctx, target, {target, {}, 0});
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::SendProbe(Context& ctx, Address target,
+                                  PendingProbe pending) {
+  const uint64_t sequence = ++next_sequence_;
+  pending_.emplace(sequence, pending);
+  counters_.Add(MembershipCounter::kProbes);
+  ctx.SendUdp(target, Probe{sequence, MakeGossip(ctx, target)});
+  const KernelSettings& settings = ctx.Settings();
+  ctx.SetTimerIn(std::chrono::milliseconds(settings.probe_timeout_ms),
+                 TimerKind::kProbeTimeout, sequence);
+  ctx.SetTimerIn(std::chrono::milliseconds(settings.probe_period_ms),
+                 TimerKind::kProbePeriodEnd, sequence);
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::ProbeIndirectly(Context& ctx, uint64_t sequence) {
+  const auto it = pending_.find(sequence);
+  if (it == pending_.end() || it->second.asker.IsSet()) return;
+  std::vector<Address> helpers;
+  for (const auto& [address, member] : ctx.Shared().members) {
+    if (member.status != MemberStatus::kAlive) continue;
+    if (address == it->second.target) continue;
+    helpers.push_back(address);
+  }
+  std::shuffle(helpers.begin(), helpers.end(), ctx.Random());
+  if (helpers.size() > kIndirectProbes) helpers.resize(kIndirectProbes);
+  for (const Address helper : helpers) {
+    ctx.SendUdp(helper, IndirectProbe{sequence, it->second.target,
+                                      MakeGossip(ctx, helper)});
+  }
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::EndProbe(Context& ctx, uint64_t sequence) {
+  const auto it = pending_.find(sequence);
+  if (it == pending_.end()) return;
+  const PendingProbe probe = it->second;
+  pending_.erase(it);
+  if (probe.asker.IsSet()) return;
+  counters_.Add(MembershipCounter::kProbesUnanswered);
+  const auto member = ctx.Shared().members.find(probe.target);
+  if (member == ctx.Shared().members.end()) return;
+  if (member->second.status == MemberStatus::kLeaving) {
+    // It stays `leaving` until it is gone.
+    if (Rules::kExpireLeaving) suspected_at_.emplace(probe.target, ctx.Now());
+    return;
+  }
+  if (member->second.status != MemberStatus::kAlive) return;
+  counters_.Add(MembershipCounter::kSuspicions);
+  SetStatus(ctx, probe.target, MemberStatus::kSuspect);
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::ExpireSuspects(Context& ctx) {
+  const Duration limit = std::chrono::milliseconds(ctx.Settings().suspicion_ms);
+  std::vector<Address> expired;
+  for (const auto& [address, since] : suspected_at_) {
+    if (ctx.Now() - since >= limit) expired.push_back(address);
+  }
+  for (const Address address : expired) {
+    counters_.Add(MembershipCounter::kMembersGone);
+    SetStatus(ctx, address, MemberStatus::kGone);
+  }
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::HandleDatagram(Context& ctx,
+                                       const DatagramReceived& received) {
+  const Address from = received.from;
+  if (const auto* asked = std::get_if<MemberDigests>(&received.message)) {
+    ServeDigests(ctx, from, *asked);
+  } else if (const auto* probe = std::get_if<Probe>(&received.message)) {
+    TakeGossip(ctx, from, probe->gossip);
+    ctx.SendUdp(from, ProbeAck{probe->sequence, ctx.Shared().self.incarnation,
+                               MakeGossip(ctx, from)});
+  } else if (const auto* ack = std::get_if<ProbeAck>(&received.message)) {
+    HandleAck(ctx, *ack);
+    const bool refuted = TakeGossip(ctx, from, ack->gossip);
+    // The one that accused this daemon hears the refutation at once.
+    if (refuted) SendProbe(ctx, from, {from, {}, 0});
+  } else if (const auto* indirect =
+                 std::get_if<IndirectProbe>(&received.message)) {
+    TakeGossip(ctx, from, indirect->gossip);
+    SendProbe(ctx, indirect->target,
+              {indirect->target, from, indirect->sequence});
+  } else if (const auto* records =
+                 std::get_if<MemberRecords>(&received.message)) {
+    TakeGossip(ctx, from, records->gossip);
+  }
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::HandleAck(Context& ctx, const ProbeAck& ack) {
+  const auto it = pending_.find(ack.sequence);
+  if (it == pending_.end()) return;
+  const PendingProbe probe = it->second;
+  pending_.erase(it);
+  const auto member = ctx.Shared().members.find(probe.target);
+  const bool leaving = member != ctx.Shared().members.end() &&
+                       member->second.status == MemberStatus::kLeaving;
+  if (leaving) suspected_at_.erase(probe.target);
+  if (!probe.asker.IsSet()) return;
+  ctx.SendUdp(probe.asker, ProbeAck{probe.asker_sequence, ack.incarnation,
+                                    MakeGossip(ctx, probe.asker)});
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::Leave(Context& ctx) {
+  ctx.Shared().self.status = MemberStatus::kLeaving;
+  UpdateSelf(ctx);
+  DeleteAnnouncement(ctx, ctx.Settings().self);
+  // The news goes out at once instead of with the next periodic probe.
+  for (size_t i = 0; i < kIndirectProbes; ++i) ProbeNext(ctx);
+}
+
+}  // namespace buckthorncart
--- a/Source/Wire/datagrams.h
+++ b/Source/Wire/datagrams.h
@@ -20,7 +20,9 @@
 struct Gossip {
   uint64_t version = 0;
   std::vector<Member> members;
-  MSGPACK_DEFINE(version, members)
+  /// Digest of the sender's table of members; 0 for none.
+  uint64_t table_digest = 0;
+  MSGPACK_DEFINE(version, members, table_digest)
 };
 
 /// Asks the receiver for a `ProbeAck` with the same sequence.
@@ -52,6 +54,20 @@
   MSGPACK_DEFINE(version)
 };
 
-using Datagram = std::variant<Probe, ProbeAck, IndirectProbe, VersionHint>;
+/// Asks for the member records of the buckets whose digests differ from these.
+struct MemberDigests {
+  uint64_t version = 0;
+  std::vector<uint64_t> buckets;
+  MSGPACK_DEFINE(version, buckets)
+};
+
+/// Member records, as an answer to `MemberDigests`.
+struct MemberRecords {
+  Gossip gossip;
+  MSGPACK_DEFINE(gossip)
+};
+
+using Datagram = std::variant<Probe, ProbeAck, IndirectProbe, VersionHint,
+                              MemberDigests, MemberRecords>;
 
 }  // namespace buckthorncart
--- a/Tests/Support/fake_fleet.cc
+++ b/Tests/Support/fake_fleet.cc
@@ -37,6 +37,14 @@
   return *daemons_.at(n);
 }
 
+void FakeFleet::AddAll(const std::vector<KernelSettings>& settings) {
+  for (const KernelSettings& one : settings) {
+    const uint32_t n = NumberOf(one.self);
+    settings_[n] = one;
+    daemons_[n] = Create(one);
+  }
+}
+
 std::unique_ptr<FakeDaemon> FakeFleet::Create(const KernelSettings& settings) {
   process_[NumberOf(settings.self)] = ++next_process_;
   return std::make_unique<FakeDaemon>(settings, plugins_(settings),
@@ -64,9 +72,13 @@
 }
 
 FakeDaemon& FakeFleet::Restart(uint32_t n) {
+  return Restart(n, Duration::zero());
+}
+
+FakeDaemon& FakeFleet::Restart(uint32_t n, Duration clock_back) {
   if (daemons_.contains(n)) Kill(n);
   daemons_[n] = Create(settings_.at(n));
-  DeliverNow(n, Started{WallAt(now_)});
+  DeliverNow(n, Started{WallAt(now_ - clock_back)});
   return *daemons_.at(n);
 }
 
--- a/Tests/Support/fake_fleet.h
+++ b/Tests/Support/fake_fleet.h
@@ -47,11 +47,15 @@
   /// so far and later.
   FakeDaemon& Add(uint32_t n, const std::string& data_centre);
   FakeDaemon& Add(const KernelSettings& settings);
+  /// Adds daemons whose peers are those that their settings name.
+  void AddAll(const std::vector<KernelSettings>& settings);
   void StartAll();
   /// Ends the process of daemon `n` without warning.
   void Kill(uint32_t n);
   /// Starts a new process at the address of daemon `n`.
   FakeDaemon& Restart(uint32_t n);
+  /// The same with a wall clock that went back by `clock_back`.
+  FakeDaemon& Restart(uint32_t n, Duration clock_back);
   /// Holds back everything for daemon `n` until `Thaw`.
   void Freeze(uint32_t n) { frozen_.insert(n); }
   void Thaw(uint32_t n);
