Count daemons that are gone in in-force and pace its probes

Cause: in-force counted only members not yet taken as gone, so that after a cut of 45 s the answer claimed a version in force everywhere although six daemons behind the cut did not hold it (the test failed so: true == false). They are now asked, named and counted as not done. A member that has left by its own word is forgotten 10 s after its end, so that ordinary replacements do not stand in the way of the answer.

The answer counts daemons in force by data centre.

Shown by membership_tests (partition: ...), with a control for the rule and for the pace. A partition test of 30 daemons: the data centre that is cut off with its platform serves on, and all hold one version after the cut.

--- a/Source/Plugins/membership_table_inl.h
+++ b/Source/Plugins/membership_table_inl.h
@@ -26,6 +26,8 @@
 /// Time after which a member that is gone is forgotten; longer than regions
 /// lose each other.
 inline constexpr Duration kForgetAfter = 1h;
+/// The same for a member that has announced that it leaves.
+inline constexpr Duration kForgetLeftAfter = 10s;
 /// Daemons that delete the announcement of one that is forgotten.
 inline constexpr size_t kAnnouncementCleaners = 2;
 
@@ -150,6 +152,7 @@
   Member& stored = ctx.Shared().members[member.address];
   const bool first = !stored.address.IsSet();
   const bool status_changed = first || stored.status != member.status;
+  const bool left = stored.status == MemberStatus::kLeaving;
   stored = member;
   if (member.status == MemberStatus::kSuspect) {
     suspected_at_.emplace(member.address, ctx.Now());
@@ -157,7 +160,9 @@
     suspected_at_.erase(member.address);
   }
   if (member.status == MemberStatus::kGone) {
-    gone_at_.emplace(member.address, ctx.Now());
+    // One that has left is not cut off and need not be remembered.
+    const Duration grace = left ? kForgetAfter - kForgetLeftAfter : 0s;
+    gone_at_.emplace(member.address, ctx.Now() - grace);
   } else {
     gone_at_.erase(member.address);
   }
--- a/Source/Plugins/version_survey.h
+++ b/Source/Plugins/version_survey.h
@@ -5,16 +5,19 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Base/address.h"
 #include "Base/time.h"
 #include "Kernel/plugin.h"
+#include "Plugins/version_survey_rules.h"
 
 namespace buckthorncart {
 
 /// Answers `in-force` and `daemons` by probing every known daemon. A daemon
 /// that does not answer is named and never counted as done.
+template <VersionSurveyRules Rules>
 class VersionSurvey : public Plugin {
  public:
   void Attach(Context& ctx) override;
@@ -28,16 +31,22 @@
     uint64_t request = 0;
     uint64_t version = 0;
     Time until{};
+    /// Start of the current round of probes.
+    Time round{};
+    /// Daemons still to be probed in this round.
+    std::vector<Address> to_probe;
     /// Version that each daemon reported; daemons without an answer are
     /// absent.
     std::map<Address, uint64_t> reported;
   };
 
   void Begin(Context& ctx, const OperatorRequested& request, Kind kind);
-  void ProbeAll(Context& ctx, uint64_t number);
+  void Step(Context& ctx, uint64_t number);
+  void BeginRound(Context& ctx, Survey& survey);
   void NoteVersion(Context& ctx, const DatagramReceived& received);
   void EndIfDone(Context& ctx, uint64_t number, bool last);
-  std::vector<Address> Expected(Context& ctx) const;
+  bool IsDone(const Survey& survey, Address address) const;
+  bool IsMissing(const Survey& survey, const Member& member) const;
   void AnswerInForce(Context& ctx, const Survey& survey);
   void AnswerDaemons(Context& ctx, const Survey& survey);
 
@@ -46,3 +55,5 @@
 };
 
 }  // namespace buckthorncart
+
+#include "Plugins/version_survey_inl.h"
--- a/Tests/Membership/large_fleet.h
+++ b/Tests/Membership/large_fleet.h
@@ -14,18 +14,24 @@
 
 namespace buckthorncart {
 
-/// All registered plug-ins, with other rules of membership.
-template <MembershipRules Rules>
-FakeDaemon::Plugins PluginsWithRules(const KernelSettings& settings) {
+/// All registered plug-ins, with `Standard` replaced by `Other`.
+template <typename Standard, typename Other>
+FakeDaemon::Plugins ReplacePlugin(const KernelSettings& settings) {
   FakeDaemon::Plugins plugins = StandardPlugins(settings);
   for (auto& plugin : plugins) {
-    using Standard = Membership<StandardMembershipRules>;
     if (dynamic_cast<Standard*>(plugin.get()) == nullptr) continue;
-    plugin = std::make_unique<Membership<Rules>>();
+    plugin = std::make_unique<Other>();
   }
   return plugins;
 }
 
+/// The same with other rules of membership.
+template <MembershipRules Rules>
+FakeDaemon::Plugins PluginsWithRules(const KernelSettings& settings) {
+  return ReplacePlugin<Membership<StandardMembershipRules>, Membership<Rules>>(
+      settings);
+}
+
 /// Daemons 1 to `size` in five data centres by turns; the first five are the
 /// configured peers of all.
 class LargeFleet {
--- a/Tests/Membership/membership_test.cc
+++ b/Tests/Membership/membership_test.cc
@@ -25,9 +25,11 @@
   static constexpr bool kForgetGone = false;
 };
 
+/// Status of member `of` in the table of `at`; one that is forgotten is gone.
 MemberStatus StatusOf(LargeFleet& test, uint32_t at, uint32_t of) {
-  const Address address = TestSettings(of, "").self;
-  return test.fleet.At(at).GetContext().Shared().members.at(address).status;
+  const auto& members = test.fleet.At(at).GetContext().Shared().members;
+  const auto it = members.find(TestSettings(of, "").self);
+  return it == members.end() ? MemberStatus::kGone : it->second.status;
 }
 
 /// Accusations by a daemon that is paused right after it has sent a probe and
--- /dev/null
+++ b/Tests/Membership/partition_test.cc
@@ -0,0 +1,179 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "Membership/large_fleet.h"
+#include "Plugins/version_survey.h"
+
+namespace buckthorncart {
+namespace {
+
+constexpr uint32_t kSize = 30;
+/// Daemons n with n % 5 == 0 are those of the data centre that is cut off.
+bool InCutOff(uint32_t n) { return n % 5 == 0; }
+
+nlohmann::json Apply(LargeFleet& test, uint32_t n, const std::string& text) {
+  return nlohmann::json::parse(test.fleet.Ask(n, "POST", "/v1/changes", text),
+                               nullptr, false);
+}
+
+nlohmann::json InForce(LargeFleet& test, uint32_t n, uint64_t version) {
+  return nlohmann::json::parse(
+      test.fleet.Ask(n, "GET",
+                     "/v1/in-force?version=" + std::to_string(version)),
+      nullptr, false);
+}
+
+bool AllHold(LargeFleet& test, uint64_t version) {
+  const std::vector<uint32_t> numbers = test.fleet.Numbers();
+  return std::all_of(numbers.begin(), numbers.end(), [&](uint32_t n) {
+    return test.fleet.At(n).Version() == version;
+  });
+}
+
+bool AllReady(LargeFleet& test) {
+  const std::vector<uint32_t> numbers = test.fleet.Numbers();
+  return std::all_of(numbers.begin(), numbers.end(),
+                     [&](uint32_t n) { return test.fleet.At(n).Ready(); });
+}
+
+/// Loses calls to the platform from the data centre that is cut off.
+bool IsPlatformCallOfCutOff(Address from, const Effect& effect) {
+  return std::holds_alternative<CallPlatform>(effect) &&
+         InCutOff(LargeFleet::NumberOf(from));
+}
+
+TEST_CASE("partition: both sides serve and end with one version") {
+  LargeFleet test(kSize);
+  REQUIRE(test.fleet.AdvanceUntil([&] { return test.WholeEverywhere(); }, 10s));
+  REQUIRE(Apply(test, 1, "create service a")["result"] == "accepted");
+  REQUIRE(test.fleet.AdvanceUntil([&] { return AllHold(test, 1); }, 5s));
+
+  test.Cut(InCutOff);
+  test.Lose(IsPlatformCallOfCutOff);
+  test.fleet.Advance(2s);
+  const auto accepted = Apply(test, 1, "create service b");
+  CHECK(accepted["result"] == "accepted");
+  const auto refused = Apply(test, 5, "create service c");
+  CHECK(refused["result"] != "accepted");
+  test.fleet.Advance(45s);
+  for (const uint32_t n : test.fleet.Numbers()) {
+    CHECK(test.fleet.At(n).Ready());
+    CHECK(test.fleet.At(n).Version() == (InCutOff(n) ? 1 : 2));
+  }
+  // The daemons that are cut off are named and not counted as done.
+  const auto during = InForce(test, 1, 2);
+  CHECK(during["in_force_everywhere"] == false);
+  std::set<std::string> missing;
+  for (const char* list : {"behind", "unreachable", "gone"}) {
+    for (const auto& address : during[list]) missing.insert(address);
+  }
+  CHECK(missing.size() == kSize / 5);
+
+  test.Heal();
+  CHECK(test.fleet.AdvanceUntil(
+      [&] { return AllHold(test, 2) && test.WholeEverywhere(); }, 20s));
+  const auto after = InForce(test, 1, 2);
+  CHECK(after["in_force_everywhere"] == true);
+  CHECK(after["in_force"] == kSize);
+}
+
+/// Kills daemons, starts them all at once and waits for the fleet to be whole.
+void RestartHerd(uint32_t first) {
+  LargeFleet test(kSize);
+  REQUIRE(test.fleet.AdvanceUntil([&] { return test.WholeEverywhere(); }, 10s));
+  for (int i = 0; i < 3; ++i) {
+    REQUIRE(Apply(test, 1, "create service s" + std::to_string(i))["result"] ==
+            "accepted");
+  }
+  REQUIRE(test.fleet.AdvanceUntil([&] { return AllHold(test, 3); }, 5s));
+  const std::vector<uint32_t> numbers = test.fleet.Numbers();
+  for (const uint32_t n : numbers) {
+    if (n >= first) test.fleet.Kill(n);
+  }
+  test.fleet.Advance(1s);
+  for (const uint32_t n : numbers) {
+    if (n >= first) test.fleet.Restart(n);
+  }
+  CHECK(test.fleet.AdvanceUntil(
+      [&] {
+        return AllHold(test, 3) && AllReady(test) && test.WholeEverywhere();
+      },
+      20s));
+  CHECK(test.SumOf("configuration_snapshots_served_total") <= kSize);
+}
+
+struct NoGoneCounted : StandardVersionSurveyRules {
+  static constexpr bool kCountGone = false;
+};
+
+TEST_CASE("partition control: without counting the gone it claims too much") {
+  using Standard = VersionSurvey<StandardVersionSurveyRules>;
+  LargeFleet test(kSize, ReplacePlugin<Standard, VersionSurvey<NoGoneCounted>>);
+  REQUIRE(test.fleet.AdvanceUntil([&] { return test.WholeEverywhere(); }, 10s));
+  test.Cut(InCutOff);
+  test.fleet.Advance(45s);
+  REQUIRE(Apply(test, 1, "create service b")["result"] == "accepted");
+  test.fleet.Advance(5s);
+  CHECK(InForce(test, 1, 1)["in_force_everywhere"] == true);
+}
+
+TEST_CASE("partition: the query names data centres and refuses bad numbers") {
+  LargeFleet test(kSize);
+  REQUIRE(test.fleet.AdvanceUntil([&] { return test.WholeEverywhere(); }, 10s));
+  test.Cut(InCutOff);
+  REQUIRE(Apply(test, 1, "create service b")["result"] == "accepted");
+  const auto answer = InForce(test, 1, 1);
+  for (const auto& place : answer["data_centres"]) {
+    const bool cut_off = place["data_centre"] == LargeFleet::DataCentreOf(5);
+    CHECK(place["in_force"] == (cut_off ? 0 : kSize / 5));
+  }
+  for (const char* bad : {"version=x", "wait-ms=1s", "wait-ms=-1"}) {
+    const auto refused = nlohmann::json::parse(
+        test.fleet.Ask(1, "GET", "/v1/in-force?" + std::string(bad)));
+    CHECK(refused["error"] == "invalid-value");
+  }
+}
+
+/// Largest number of datagrams sent by one daemon in 10 ms of a query.
+size_t LargestBurst(FakeFleet::PluginFactory plugins) {
+  constexpr uint32_t kDaemons = 200;
+  LargeFleet test(kDaemons, std::move(plugins));
+  REQUIRE(test.fleet.AdvanceUntil([&] { return test.WholeEverywhere(); }, 30s));
+  std::map<int64_t, size_t> sent;
+  test.Lose([&](Address from, const Effect& effect) {
+    const bool probe = LargeFleet::NumberOf(from) == 1 &&
+                       std::holds_alternative<SendDatagram>(effect);
+    if (probe) ++sent[test.fleet.Now() / 10ms];
+    return false;
+  });
+  const auto answer = InForce(test, 1, 0);
+  CHECK(answer["in_force"] == kDaemons);
+  size_t largest = 0;
+  for (const auto& [slot, n] : sent) largest = std::max(largest, n);
+  return largest;
+}
+
+struct NoPacedProbes : StandardVersionSurveyRules {
+  static constexpr bool kPaceProbes = false;
+};
+
+TEST_CASE("partition: a query asks a large fleet at a bounded pace") {
+  // 64 probes of the query, and the failure detector's own.
+  constexpr size_t kBurst = 64 + 8;
+  using Standard = VersionSurvey<StandardVersionSurveyRules>;
+  CHECK(LargestBurst(StandardPlugins) <= kBurst);
+  CHECK(LargestBurst(ReplacePlugin<Standard, VersionSurvey<NoPacedProbes>>) >
+        kBurst);
+}
+
+TEST_CASE("partition: all come back after a herd restarts") {
+  RestartHerd(kSize);
+  RestartHerd(11);
+  RestartHerd(1);
+}
+
+}  // namespace
+}  // namespace buckthorncart
