Spread versions along a tree in each data centre

Cause: three random neighbours that each tell three more leave some daemons untold; at 100 daemons those waited for a probe.

Members of a data centre now form one tree in the order of a rendezvous hash that is the same for all versions, so that each daemon is told once over few connections. A child that may be dead is passed over to its children, a root likewise; a daemon that learned a version aside from the tree tells the root and its children.

Ruled out: a larger fan-out, which leaves fewer out and doubles what the others hear.

--- a/Source/Plugins/spreading_policy.h
+++ b/Source/Plugins/spreading_policy.h
@@ -25,31 +25,29 @@
     } -> std::same_as<std::vector<SpreadTarget>>;
 };
 
-/// Live members of the own data centre but `except`, in random order, `n` at
-/// most.
-std::vector<Address> RandomNeighbours(Context& ctx, Address except, size_t n);
+/// Members of the own data centre that this daemon tells: its children in a
+/// tree of `fanout` over all members, in the order of a rendezvous hash. Every
+/// member is told once. A daemon that accepted the version also tells the
+/// root; one that learned it aside from the tree, the root and its children.
+std::vector<Address> Neighbours(Context& ctx, Address from, size_t fanout);
 
-/// The member of each other data centre that relays `version` into it, by
-/// rendezvous hash, so that every sender picks the same.
-std::vector<Address> RelaysElsewhere(Context& ctx, uint64_t version);
+/// The root of the tree of each other data centre, told by the daemon that
+/// accepted the change or found it on the platform.
+std::vector<Address> RelaysElsewhere(Context& ctx);
 
-/// True if this daemon tells other data centres of `version`: it learned it
-/// from its own data centre or accepted it, and it is the chosen sender.
-bool CrossesDataCentres(Context& ctx, Address from, uint64_t version);
-
-/// Pushes the change to random neighbours and to one relay elsewhere.
+/// Pushes the change to neighbours and to relays elsewhere.
 struct PushSpreading {
   std::vector<SpreadTarget> Targets(Context& ctx, Address from,
                                     uint64_t version) const;
 };
 
-/// Hints the version to random neighbours and to one relay elsewhere.
+/// Hints the version to neighbours and to relays elsewhere.
 struct HintSpreading {
   std::vector<SpreadTarget> Targets(Context& ctx, Address from,
                                     uint64_t version) const;
 };
 
-/// Pushes to relays elsewhere, hints to random neighbours.
+/// Pushes to relays elsewhere, hints to neighbours.
 struct MixedSpreading {
   std::vector<SpreadTarget> Targets(Context& ctx, Address from,
                                     uint64_t version) const;
--- a/Tests/Membership/full_size_model.cc
+++ b/Tests/Membership/full_size_model.cc
@@ -1,6 +1,6 @@
 /// \file
-/// `full_size_model N`: kernels of N daemons in virtual time; prints control
-/// bytes at rest and for one change, and the time until it is in force.
+/// `full_size_model N WAY`: kernels of N daemons in virtual time; prints
+/// control bytes at rest and for one change, and the time until it is in force.
 
 #include <algorithm>
 #include <iostream>
@@ -10,8 +10,10 @@
 namespace buckthorncart {
 namespace {
 
-void Run(uint32_t size) {
-  LargeFleet test(size);
+void Run(uint32_t size, Spreading way) {
+  LargeFleet test(size, StandardPlugins, [way](KernelSettings& settings) {
+    settings.spreading = way;
+  });
   const bool joined = test.fleet.AdvanceUntil(
       [next = Time{}, &test]() mutable {
         if (test.fleet.Now() < next) return false;
@@ -19,8 +21,8 @@
         return test.WholeEverywhere();
       },
       60s);
-  std::cout << "daemons " << size << ", joined " << joined << " after "
-            << ToMilliseconds(test.fleet.Now() - 1h) << " ms\n";
+  std::cout << NameOf(way) << ", daemons " << size << ", joined " << joined
+            << " after " << ToMilliseconds(test.fleet.Now() - 1h) << " ms\n";
   test.fleet.Advance(60s);
   constexpr int kRestSeconds = 10;
   const uint64_t before = test.SentBytesOfAll();
@@ -62,6 +64,12 @@
   constexpr uint32_t kFullSize = 770;
   const uint32_t size =
       argc > 1 ? static_cast<uint32_t>(std::stoul(argv[1])) : kFullSize;
-  buckthorncart::Run(size);
+  const auto way = buckthorncart::ParseEnum<buckthorncart::Spreading>(
+      argc > 2 ? argv[2] : "mixed");
+  if (!way) {
+    std::cerr << "full_size_model: expected push, hint or mixed\n";
+    return 2;
+  }
+  buckthorncart::Run(size, *way);
   return 0;
 }
