Pass on only news, not records that came in a whole table

Cause: a daemon that joins queued every record of the table it was given for gossip, 30 transmissions each at 770 daemons, so that the start was repeated by all for many minutes.

Ruled out: fewer transmissions of each record, which makes real news slower.

--- a/Source/Plugins/membership.h
+++ b/Source/Plugins/membership.h
@@ -81,13 +81,14 @@
   void ForgetLost(Context& ctx);
   void DeleteAnnouncement(Context& ctx, Address address);
   void HandleAck(Context& ctx, const ProbeAck& ack);
-  bool TakeGossip(Context& ctx, Address from, const Gossip& gossip);
+  /// `news` tells whether the records are passed on.
+  bool TakeGossip(Context& ctx, Address from, const Gossip& gossip, bool news);
   void CompareTables(Context& ctx, Address from, const Gossip& gossip);
   void PullTable(Context& ctx, Address from);
   void ServeDigests(Context& ctx, Address from, const MemberDigests& asked);
-  void Merge(Context& ctx, const Member& member);
+  void Merge(Context& ctx, const Member& member, bool news);
   void RefuteIfNeeded(Context& ctx, const Member& rumour);
-  void Store(Context& ctx, const Member& member);
+  void Store(Context& ctx, const Member& member, bool news);
   void SetStatus(Context& ctx, Address address, MemberStatus status);
   void UpdateSelf(Context& ctx);
   void Leave(Context& ctx);
--- a/Source/Plugins/membership_inl.h
+++ b/Source/Plugins/membership_inl.h
@@ -277,22 +277,22 @@
   if (const auto* asked = std::get_if<MemberDigests>(&received.message)) {
     ServeDigests(ctx, from, *asked);
   } else if (const auto* probe = std::get_if<Probe>(&received.message)) {
-    TakeGossip(ctx, from, probe->gossip);
+    TakeGossip(ctx, from, probe->gossip, true);
     ctx.SendUdp(from, ProbeAck{probe->sequence, ctx.Shared().self.incarnation,
                                MakeGossip(ctx, from)});
   } else if (const auto* ack = std::get_if<ProbeAck>(&received.message)) {
     HandleAck(ctx, *ack);
-    const bool refuted = TakeGossip(ctx, from, ack->gossip);
+    const bool refuted = TakeGossip(ctx, from, ack->gossip, true);
     // The one that accused this daemon hears the refutation at once.
     if (refuted) SendProbe(ctx, from, {from, {}, 0});
   } else if (const auto* indirect =
                  std::get_if<IndirectProbe>(&received.message)) {
-    TakeGossip(ctx, from, indirect->gossip);
+    TakeGossip(ctx, from, indirect->gossip, true);
     SendProbe(ctx, indirect->target,
               {indirect->target, from, indirect->sequence});
   } else if (const auto* records =
                  std::get_if<MemberRecords>(&received.message)) {
-    TakeGossip(ctx, from, records->gossip);
+    TakeGossip(ctx, from, records->gossip, false);
   }
 }
 
--- a/Source/Plugins/membership_table_inl.h
+++ b/Source/Plugins/membership_table_inl.h
@@ -35,9 +35,9 @@
 /// daemon and was refuted.
 template <MembershipRules Rules>
 bool Membership<Rules>::TakeGossip(Context& ctx, Address from,
-                                   const Gossip& gossip) {
+                                   const Gossip& gossip, bool news) {
   const uint64_t sequence = ctx.Shared().self.sequence;
-  for (const Member& member : gossip.members) Merge(ctx, member);
+  for (const Member& member : gossip.members) Merge(ctx, member, news);
   if (!ctx.Shared().members.contains(from)) PullTable(ctx, from);
   if (Rules::kCompareTables) CompareTables(ctx, from, gossip);
   return ctx.Shared().self.sequence != sequence;
@@ -101,7 +101,8 @@
   }
   const auto* push = std::get_if<PushMembers>(&received.message);
   if (push == nullptr) return;
-  for (const Member& member : push->members) Merge(ctx, member);
+  // What a whole table tells is no news that others lack.
+  for (const Member& member : push->members) Merge(ctx, member, false);
 }
 
 /// All records that `asker` can use: those of members that are gone are of use
@@ -118,7 +119,7 @@
 }
 
 template <MembershipRules Rules>
-void Membership<Rules>::Merge(Context& ctx, const Member& member) {
+void Membership<Rules>::Merge(Context& ctx, const Member& member, bool news) {
   if (member.address == ctx.Settings().self) {
     RefuteIfNeeded(ctx, member);
     return;
@@ -129,7 +130,7 @@
   // Else daemons would tell one another for ever of what they have forgotten.
   const bool forgotten = !known && member.status == MemberStatus::kGone;
   if (Rules::kForgetGone && forgotten) return;
-  Store(ctx, member);
+  Store(ctx, member, news);
 }
 
 template <MembershipRules Rules>
@@ -148,7 +149,7 @@
 }
 
 template <MembershipRules Rules>
-void Membership<Rules>::Store(Context& ctx, const Member& member) {
+void Membership<Rules>::Store(Context& ctx, const Member& member, bool news) {
   Member& stored = ctx.Shared().members[member.address];
   const bool first = !stored.address.IsSet();
   const bool status_changed = first || stored.status != member.status;
@@ -167,7 +168,7 @@
     gone_at_.erase(member.address);
   }
   buckets_stale_ = true;
-  updates_.Add(member, ctx.Shared().members.size());
+  if (news) updates_.Add(member, ctx.Shared().members.size());
   if (status_changed) {
     ctx.Log(LogTopic::kMemberStatus,
             {{"member", member.address.ToString()},
@@ -181,7 +182,7 @@
                                   MemberStatus status) {
   Member member = ctx.Shared().members.at(address);
   member.status = status;
-  Store(ctx, member);
+  Store(ctx, member, true);
 }
 
 template <MembershipRules Rules>
