--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -7,6 +7,7 @@
 
 #include "Base/version.h"
 #include "Config/value_parsers.h"
+#include "Kernel/spreading_profile.h"
 
 namespace buckthorncart {
 namespace {
@@ -33,6 +34,7 @@
   std::string backend_server;
   std::vector<std::string> peers;
   std::string platform = "memory:";
+  std::string profile = "balanced";
   std::string spreading = "mixed";
   std::string log_format = "text";
   std::string log_level = "info";
@@ -55,6 +57,7 @@
   void AddPlatform();
   void AddProcess();
   Result<void> Resolve();
+  Result<void> ResolveSpreading();
   Result<Address> ParseAddress(const std::string& flag,
                                const std::string& text) const;
 
@@ -114,6 +117,10 @@
 
 void SettingsParser::AddConfiguration() {
   KernelSettings& kernel = settings_.kernel;
+  AddText(
+      "--profile", raw_.profile,
+      "set of settings that other flags change: " + NamesOf<SpreadingProfile>(),
+      false);
   AddText("--spreading", raw_.spreading,
           "way of spreading new versions: " + NamesOf<Spreading>(), false);
   AddNumber("--spreading-fanout", kernel.spreading_fanout, 1, 32,
@@ -232,8 +239,7 @@
   settings_.driver.limits.body_bytes = body_limit_;
   settings_.driver.limits.connections = connection_limit_;
   settings_.kernel.seed = std::random_device{}();
-  Result<void> named =
-      ParseName("--spreading", raw_.spreading, settings_.kernel.spreading);
+  Result<void> named = ResolveSpreading();
   if (named) {
     named = ParseName("--log-format", raw_.log_format, settings_.log_format);
   }
@@ -243,6 +249,32 @@
   return named;
 }
 
+/// Applies the profile to the settings whose flags and variables are absent.
+Result<void> SettingsParser::ResolveSpreading() {
+  KernelSettings& kernel = settings_.kernel;
+  auto profile = SpreadingProfile::kBalanced;
+  const auto named = ParseName("--profile", raw_.profile, profile);
+  if (!named) return named;
+  const auto spreading =
+      ParseName("--spreading", raw_.spreading, kernel.spreading);
+  if (!spreading) return spreading;
+  KernelSettings preset = kernel;
+  ApplyProfile(profile, preset);
+  const auto is_absent = [this](const char* flag) {
+    return app_.get_option(flag)->empty();
+  };
+  const std::pair<const char*, uint32_t KernelSettings::*> fields[] = {
+      {"--spreading-fanout", &KernelSettings::spreading_fanout},
+      {"--probe-period-ms", &KernelSettings::probe_period_ms},
+      {"--suspicion-ms", &KernelSettings::suspicion_ms},
+      {"--head-read-interval-ms", &KernelSettings::head_read_interval_ms}};
+  for (const auto& [flag, field] : fields) {
+    if (is_absent(flag)) kernel.*field = preset.*field;
+  }
+  if (is_absent("--spreading")) kernel.spreading = preset.spreading;
+  return {};
+}
+
 ParsedSettings SettingsParser::Parse(int argc, char** argv) {
   try {
     app_.parse(argc, argv);
--- a/Tests/Membership/full_size_model.cc
+++ b/Tests/Membership/full_size_model.cc
@@ -1,19 +1,23 @@
 /// \file
-/// `full_size_model N WAY`: kernels of N daemons in virtual time; prints
-/// control bytes at rest and for one change, and the time until it is in force.
+/// `full_size_model N WAY PROFILE`: kernels of N daemons in virtual time;
+/// prints control bytes at rest and for one change, and the time until it is in
+/// force.
 
 #include <algorithm>
 #include <iostream>
 
+#include "Kernel/spreading_profile.h"
 #include "Membership/large_fleet.h"
 
 namespace buckthorncart {
 namespace {
 
-void Run(uint32_t size, Spreading way) {
-  LargeFleet test(size, StandardPlugins, [way](KernelSettings& settings) {
-    settings.spreading = way;
-  });
+void Run(uint32_t size, Spreading way, SpreadingProfile profile) {
+  LargeFleet test(size, StandardPlugins,
+                  [way, profile](KernelSettings& settings) {
+                    settings.spreading = way;
+                    ApplyProfile(profile, settings);
+                  });
   const bool joined = test.fleet.AdvanceUntil(
       [next = Time{}, &test]() mutable {
         if (test.fleet.Now() < next) return false;
@@ -21,8 +25,10 @@
         return test.WholeEverywhere();
       },
       60s);
-  std::cout << NameOf(way) << ", daemons " << size << ", joined " << joined
-            << " after " << ToMilliseconds(test.fleet.Now() - 1h) << " ms\n";
+  std::cout << NameOf(profile) << ", "
+            << NameOf(test.fleet.At(1).Settings().spreading) << ", daemons "
+            << size << ", joined " << joined << " after "
+            << ToMilliseconds(test.fleet.Now() - 1h) << " ms\n";
   test.fleet.Advance(60s);
   constexpr int kRestSeconds = 10;
   const uint64_t before = test.SentBytesOfAll();
@@ -66,10 +72,13 @@
       argc > 1 ? static_cast<uint32_t>(std::stoul(argv[1])) : kFullSize;
   const auto way = buckthorncart::ParseEnum<buckthorncart::Spreading>(
       argc > 2 ? argv[2] : "mixed");
-  if (!way) {
-    std::cerr << "full_size_model: expected push, hint or mixed\n";
+  const auto profile =
+      buckthorncart::ParseEnum<buckthorncart::SpreadingProfile>(
+          argc > 3 ? argv[3] : "balanced");
+  if (!way || !profile) {
+    std::cerr << "full_size_model: expected N WAY PROFILE\n";
     return 2;
   }
-  buckthorncart::Run(size, *way);
+  buckthorncart::Run(size, *way, *profile);
   return 0;
 }
--- a/Tests/Membership/spreading_test.cc
+++ b/Tests/Membership/spreading_test.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "Kernel/spreading_profile.h"
 #include "Membership/large_fleet.h"
 #include "Plugins/configuration_holder.h"
 
@@ -115,5 +116,40 @@
   }
 }
 
+struct ProfileCost {
+  Duration time_with_dead{};
+  double bytes_at_rest = 0;
+};
+
+ProfileCost CostOf(SpreadingProfile profile) {
+  LargeFleet test(kSize, StandardPlugins, [profile](KernelSettings& settings) {
+    ApplyProfile(profile, settings);
+  });
+  REQUIRE(test.fleet.AdvanceUntil([&] { return test.WholeEverywhere(); }, 30s));
+  test.fleet.Advance(60s);
+  const uint64_t before = test.SentBytesOfAll();
+  test.fleet.Advance(20s);
+  ProfileCost cost;
+  cost.bytes_at_rest =
+      static_cast<double>(test.SentBytesOfAll() - before) / 20 / kSize;
+  for (uint32_t n = 2; n <= kSize; n += 10) test.fleet.Kill(n);
+  cost.time_with_dead = TimeOfChange(test, 1, kTargetWithFaults);
+  return cost;
+}
+
+TEST_CASE("spreading: each profile is best at what it is named for") {
+  const ProfileCost fast = CostOf(SpreadingProfile::kConvergeFast);
+  const ProfileCost balanced = CostOf(SpreadingProfile::kBalanced);
+  const ProfileCost saving = CostOf(SpreadingProfile::kSaveBytes);
+  for (const ProfileCost& cost : {fast, balanced, saving}) {
+    MESSAGE(ToMilliseconds(cost.time_with_dead)
+            << " ms with one in ten dead, " << cost.bytes_at_rest
+            << " B/s at rest");
+    CHECK(cost.time_with_dead < kTargetWithFaults);
+  }
+  CHECK(fast.time_with_dead < balanced.time_with_dead);
+  CHECK(saving.bytes_at_rest < balanced.bytes_at_rest);
+}
+
 }  // namespace
 }  // namespace buckthorncart
