--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -34,6 +34,7 @@
   std::vector<std::string> peers;
   std::string platform = "memory:";
   std::string spreading = "mixed";
+  std::string choice = "two-random";
   std::string log_format = "text";
   std::string log_level = "info";
 };
@@ -142,6 +143,9 @@
 
 void SettingsParser::AddRequests() {
   KernelSettings& kernel = settings_.kernel;
+  AddText("--choice", raw_.choice,
+          "way of choosing the backend server: " + NamesOf<ChoicePolicy>(),
+          false);
   AddNumber("--queue-limit", kernel.queue_limit, 0, 100'000,
             "requests that wait for a slot of the backend server");
   AddNumber("--max-attempts", kernel.max_attempts, 1, 16,
@@ -234,6 +238,8 @@
   settings_.kernel.seed = std::random_device{}();
   Result<void> named =
       ParseName("--spreading", raw_.spreading, settings_.kernel.spreading);
+  if (named)
+    named = ParseName("--choice", raw_.choice, settings_.kernel.choice);
   if (named) {
     named = ParseName("--log-format", raw_.log_format, settings_.log_format);
   }
--- a/Source/Kernel/directory.h
+++ b/Source/Kernel/directory.h
@@ -32,6 +32,8 @@
   PlatformQueue* platform = nullptr;
   /// True once this daemon leaves (drain).
   bool draining = false;
+  /// True once callers that stayed are refused, so that it can end (drain).
+  bool refusing_callers = false;
   /// Requests that run or wait for the local backend server (admission).
   uint32_t active_runs = 0;
   /// Requests of callers without a complete answer (receiving).
--- a/Source/Kernel/kernel_settings.h
+++ b/Source/Kernel/kernel_settings.h
@@ -27,6 +27,22 @@
   static constexpr std::string_view kNames[] = {"push", "hint", "mixed"};
 };
 
+/// How the backend server for a request is chosen.
+enum class ChoicePolicy : uint8_t {
+  /// The less loaded of two random ones.
+  kTwoRandom,
+  /// Any one at random; for comparison.
+  kUniform,
+  /// The one of two random ones that is expected to answer first.
+  kLeastTime,
+};
+
+template <>
+struct EnumNames<ChoicePolicy> {
+  static constexpr std::string_view kNames[] = {"two-random", "uniform",
+                                                "least-time"};
+};
+
 struct KernelSettings {
   /// Address of this daemon for other daemons, TCP and UDP.
   Address self;
@@ -69,15 +85,19 @@
   uint32_t platform_queue_limit = 1'024;
   uint32_t platform_concurrency = 8;
 
+  // Requests, continued.
+  ChoicePolicy choice = ChoicePolicy::kTwoRandom;
+
   MSGPACK_DEFINE(self, data_centre, peers, backend, seed, spreading,
                  spreading_fanout, holders_timeout_ms, decision_timeout_ms,
                  head_read_interval_ms, snapshot_every, probe_period_ms,
                  probe_timeout_ms, suspicion_ms, peer_timeout_ms, queue_limit,
                  max_attempts, retry_budget_percent, backend_timeout_ms,
                  slow_start_ms, platform_timeout_ms, platform_queue_limit,
-                 platform_concurrency)
+                 platform_concurrency, choice)
 };
 
 }  // namespace buckthorncart
 
 MSGPACK_ADD_ENUM(buckthorncart::Spreading)
+MSGPACK_ADD_ENUM(buckthorncart::ChoicePolicy)
--- a/Source/Plugins/admission.h
+++ b/Source/Plugins/admission.h
@@ -4,9 +4,7 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <map>
-#include <string>
 #include <string_view>
 #include <utility>
 
@@ -15,6 +13,10 @@
 #include "Base/time.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
+#include "Plugins/admission_queue.h"
+#include "Plugins/request_rules.h"
+#include "Plugins/service_time.h"
+#include "Plugins/shed_limit.h"
 #include "Wire/member.h"
 #include "Wire/peer_messages.h"
 
@@ -28,6 +30,8 @@
   kCompleted,
   kBroken,
   kCancelled,
+  kEvicted,
+  kShed,
 };
 
 template <>
@@ -36,11 +40,13 @@
       "admission_runs_total",      "admission_refused_total",
       "admission_queued_total",    "admission_expired_in_queue_total",
       "admission_completed_total", "admission_broken_total",
-      "admission_cancelled_total"};
+      "admission_cancelled_total", "admission_evicted_total",
+      "admission_shed_total"};
 };
 
 /// Knows the slots, the drain and the connections of the backend server
 /// exactly, so that its refusal "not run" is true by construction.
+template <RequestRules Rules>
 class Admission : public Plugin {
  public:
   void Attach(Context& ctx) override;
@@ -56,6 +62,9 @@
     Time deadline{};
     bool started = false;
     bool head_sent = false;
+    Time started_at{};
+    /// Parts of the answer sent so far.
+    uint32_t parts = 0;
   };
   static constexpr size_t kClasses = 2;
 
@@ -67,21 +76,34 @@
   void HandleAnnouncement(Context& ctx, const OperatorRequested& request);
   void SetBackend(Context& ctx, BackendAnnouncement backend);
   Errc ReasonToRefuse(Context& ctx, const Call& call) const;
+  void HandleTick(Context& ctx);
+  void EvictFor(Context& ctx, RequestClass request_class);
+  static bool IsShed(const AnswerPart& part);
+  void HandleShed(Context& ctx, uint64_t number);
+  void CancelStarted(Context& ctx, uint64_t number);
+  void SendPart(Context& ctx, Run& run, AnswerPart part);
+  bool IsTooLate(Context& ctx, RequestClass request_class, Duration remaining,
+                 size_t ahead) const;
   void StartQueued(Context& ctx);
   void StartRun(Context& ctx, uint64_t number);
   void EndRun(Context& ctx, uint64_t number);
   void Refuse(Context& ctx, const CallKey& key, Errc reason);
-  uint32_t LoadPerMille() const;
-  size_t QueueLength() const;
+  uint32_t Slots(Context& ctx) const;
+  uint32_t LoadPerMille(Context& ctx) const;
+  ServiceTime& TimeOf(const Run& run);
 
   BackendAnnouncement backend_;
   Time last_announcement_{};
   std::map<uint64_t, Run> runs_;
   std::map<CallKey, uint64_t> run_of_call_;
-  std::array<std::deque<uint64_t>, kClasses> queues_;
+  AdmissionQueue<Rules> queue_;
+  std::array<ServiceTime, kClasses> service_times_;
+  ShedLimit shed_limit_;
   uint32_t slots_in_use_ = 0;
   uint64_t next_run_ = 0;
   Counters<AdmissionCounter> counters_;
 };
 
 }  // namespace buckthorncart
+
+#include "Plugins/admission_inl.h"
--- /dev/null
+++ b/Source/Plugins/admission_inl.h
@@ -0,0 +1,366 @@
+#pragma once
+/// \file
+/// Definitions of `Admission`; include admission.h.
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "Kernel/context.h"
+#include "Plugins/admission.h"
+#include "Plugins/announcement_json.h"
+
+namespace buckthorncart {
+
+inline constexpr uint32_t kPerMille = 1'000;
+/// A backend server that has not announced itself for so long is absent.
+inline constexpr Duration kAnnouncementLease = 3s;
+
+template <RequestRules Rules>
+void Admission<Rules>::Attach(Context& ctx) {
+  ctx.AllMetrics().Add(&counters_);
+  ctx.AllMetrics().AddGauge("admission_slots_in_use", [this] {
+    return static_cast<double>(slots_in_use_);
+  });
+  ctx.AllMetrics().AddGauge("admission_queue_length", [this] {
+    return static_cast<double>(queue_.Size());
+  });
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::Handle(Context& ctx, const Event& event) {
+  if (const auto* message = std::get_if<PeerMessageReceived>(&event)) {
+    if (const auto* call = std::get_if<Call>(&message->message)) {
+      HandleCall(ctx, message->from, *call);
+    } else if (const auto* cancel =
+                   std::get_if<CancelCall>(&message->message)) {
+      HandleCancel(ctx, message->from, cancel->id);
+    }
+  } else if (const auto* answered = std::get_if<BackendAnswered>(&event)) {
+    HandleAnswer(ctx, *answered);
+  } else if (const auto* lost = std::get_if<PeerConnectionLost>(&event)) {
+    HandlePeerLost(ctx, lost->peer);
+  } else if (const auto* timer = std::get_if<TimerFired>(&event)) {
+    if (timer->kind == TimerKind::kQueueDeadline) {
+      HandleDeadline(ctx, timer->argument);
+    } else if (timer->kind == TimerKind::kTick) {
+      HandleTick(ctx);
+    }
+  }
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleTick(Context& ctx) {
+  // Slots come back at the end of a pause, without an event of their own.
+  StartQueued(ctx);
+  const bool lapsed = backend_.state != BackendState::kAbsent &&
+                      ctx.Now() - last_announcement_ > kAnnouncementLease;
+  if (!lapsed) return;
+  BackendAnnouncement absent = backend_;
+  absent.state = BackendState::kAbsent;
+  SetBackend(ctx, std::move(absent));
+}
+
+template <RequestRules Rules>
+bool Admission<Rules>::HandleOperator(Context& ctx,
+                                      const OperatorRequested& request) {
+  const bool mine = request.http.path == "/v1/backend-server" &&
+                    request.http.method == "POST";
+  if (mine) HandleAnnouncement(ctx, request);
+  return mine;
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleAnnouncement(Context& ctx,
+                                          const OperatorRequested& request) {
+  auto backend = ParseAnnouncement(request.http.body);
+  if (!backend) {
+    ctx.AnswerFailure(request.request, 422, backend.error());
+    return;
+  }
+  last_announcement_ = ctx.Now();
+  SetBackend(ctx, std::move(*backend));
+  ctx.AnswerJson(request.request, 200, "{\"result\":\"announced\"}\n");
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::SetBackend(Context& ctx, BackendAnnouncement backend) {
+  if (backend == backend_) return;
+  if (backend.state != backend_.state) {
+    ctx.Log(LogTopic::kBackendState,
+            {{"service", backend.service},
+             {"state", std::string(NameOf(backend.state))}});
+  }
+  backend_ = std::move(backend);
+  ctx.Raise(LocalBackendChanged{backend_});
+  StartQueued(ctx);
+}
+
+template <RequestRules Rules>
+Errc Admission<Rules>::ReasonToRefuse(Context& ctx, const Call& call) const {
+  if (ctx.Shared().draining) return Errc::kDraining;
+  if (backend_.state == BackendState::kDraining) return Errc::kDraining;
+  if (backend_.state != BackendState::kReady) return Errc::kNotReady;
+  if (backend_.service != call.service) return Errc::kNoBackendServer;
+  if (call.remaining_ms == 0) return Errc::kDeadlineExpired;
+  // Unrepeatable calls need a claim, which this daemon cannot take yet.
+  if (!call.repeatable) return Errc::kClaimUndecided;
+  const uint32_t slots = Slots(ctx);
+  if (slots == 0) return Errc::kOverloaded;
+  const Duration remaining = std::chrono::milliseconds(call.remaining_ms);
+  if (IsTooLate(ctx, call.request_class, remaining, 0)) {
+    return Errc::kDeadlineExpired;
+  }
+  if (slots_in_use_ < slots) return Errc::kOk;
+  const bool full = queue_.Size() >= ctx.Settings().queue_limit &&
+                    !queue_.CanEvictFor(call.request_class);
+  const size_t ahead = queue_.Ahead(call.request_class) + 1;
+  if (full || IsTooLate(ctx, call.request_class, remaining, ahead)) {
+    return Errc::kOverloaded;
+  }
+  return Errc::kOk;
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleCall(Context& ctx, Address from,
+                                  const Call& call) {
+  const CallKey key{from, call.id};
+  if (run_of_call_.contains(key)) return;
+  const Errc reason = ReasonToRefuse(ctx, call);
+  if (reason != Errc::kOk) {
+    Refuse(ctx, key, reason);
+    return;
+  }
+  const uint64_t number = ++next_run_;
+  const Duration remaining = std::chrono::milliseconds(call.remaining_ms);
+  runs_[number] = {key, call, ctx.Now() + remaining, false, false};
+  run_of_call_[key] = number;
+  ctx.Shared().active_runs = static_cast<uint32_t>(runs_.size());
+  ctx.SetTimerIn(remaining, TimerKind::kQueueDeadline, number);
+  if (slots_in_use_ < Slots(ctx) && queue_.Size() == 0) {
+    StartRun(ctx, number);
+    return;
+  }
+  counters_.Add(AdmissionCounter::kQueued);
+  if (queue_.Size() >= ctx.Settings().queue_limit) {
+    EvictFor(ctx, call.request_class);
+  }
+  queue_.Push(number, call.request_class);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::EvictFor(Context& ctx, RequestClass request_class) {
+  const auto evicted = queue_.EvictFor(request_class);
+  if (!evicted) return;
+  counters_.Add(AdmissionCounter::kEvicted);
+  const CallKey key = runs_.at(*evicted).key;
+  EndRun(ctx, *evicted);
+  Refuse(ctx, key, Errc::kOverloaded);
+}
+
+/// True if a call that waits for `ahead` others is expected to end after its
+/// deadline.
+template <RequestRules Rules>
+bool Admission<Rules>::IsTooLate(Context& ctx, RequestClass request_class,
+                                 Duration remaining, size_t ahead) const {
+  if (!Rules::kCheckServiceTime) return false;
+  const ServiceTime& time = service_times_[static_cast<size_t>(request_class)];
+  const Duration expected = time.Expected(ctx.Now());
+  const Duration wait = expected * ahead / std::max(Slots(ctx), 1U);
+  return remaining < wait + expected;
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::StartQueued(Context& ctx) {
+  while (slots_in_use_ < Slots(ctx)) {
+    const auto number = queue_.Pop();
+    if (!number) return;
+    const Run& run = runs_.at(*number);
+    const Duration remaining = run.deadline - ctx.Now();
+    if (!IsTooLate(ctx, run.call.request_class, remaining, 0)) {
+      StartRun(ctx, *number);
+      continue;
+    }
+    counters_.Add(AdmissionCounter::kExpiredInQueue);
+    const CallKey key = run.key;
+    EndRun(ctx, *number);
+    Refuse(ctx, key, Errc::kDeadlineExpired);
+  }
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::StartRun(Context& ctx, uint64_t number) {
+  Run& run = runs_.at(number);
+  run.started = true;
+  run.started_at = ctx.Now();
+  ++slots_in_use_;
+  counters_.Add(AdmissionCounter::kRuns);
+  HttpRequest request = run.call.request;
+  const auto remaining =
+      std::max<int64_t>(ToMilliseconds(run.deadline - ctx.Now()), 0);
+  request.headers.push_back(
+      {std::string(header::kDeadline), std::to_string(remaining)});
+  ctx.Emit(CallBackend{number, ctx.Settings().backend, std::move(request),
+                       run.call.repeatable});
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleAnswer(Context& ctx,
+                                    const BackendAnswered& answered) {
+  const auto it = runs_.find(answered.run);
+  if (it == runs_.end()) return;
+  Run& run = it->second;
+  const auto [peer, id] = run.key;
+  if (answered.fault == BackendFault::kNotConnected) {
+    EndRun(ctx, answered.run);
+    Refuse(ctx, {peer, id}, Errc::kBackendServerFailed);
+    StartQueued(ctx);
+    return;
+  }
+  if (!run.head_sent && IsShed(answered.part)) {
+    HandleShed(ctx, answered.run);
+    return;
+  }
+  const bool broken = answered.fault == BackendFault::kConnectionBroken;
+  if (broken && !run.head_sent) {
+    counters_.Add(AdmissionCounter::kBroken);
+    ctx.Send(peer, CallFailed{id, Errc::kBackendServerFailed});
+  } else {
+    AnswerPart part = answered.part;
+    if (broken) part.end = AnswerEnd::kBroken;
+    SendPart(ctx, run, std::move(part));
+  }
+  if (!broken && answered.part.end == AnswerEnd::kMore) return;
+  counters_.Add(AdmissionCounter::kCompleted);
+  if (!broken) {
+    shed_limit_.NoteAnswer(backend_.slots);
+    TimeOf(run).Note(ctx.Now() - run.started_at, ctx.Now());
+  }
+  EndRun(ctx, answered.run);
+  StartQueued(ctx);
+}
+
+/// True for an answer by which the backend server says that it did not run
+/// the request.
+template <RequestRules Rules>
+bool Admission<Rules>::IsShed(const AnswerPart& part) {
+  constexpr uint16_t kServiceUnavailable = 503;
+  return Rules::kTakeShedAsNotRun && part.status == kServiceUnavailable &&
+         FindHeader(part.headers, header::kOutcome) == NameOf(Outcome::kNotRun);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleShed(Context& ctx, uint64_t number) {
+  counters_.Add(AdmissionCounter::kShed);
+  const CallKey key = runs_.at(number).key;
+  EndRun(ctx, number);
+  shed_limit_.NoteShed(ctx.Now(), slots_in_use_);
+  Refuse(ctx, key, Errc::kOverloaded);
+  StartQueued(ctx);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::SendPart(Context& ctx, Run& run, AnswerPart part) {
+  run.head_sent = true;
+  const auto [peer, id] = run.key;
+  ctx.Send(peer,
+           CallAnswer{id, std::move(part), LoadPerMille(ctx), ++run.parts});
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleCancel(Context& ctx, Address from, uint64_t id) {
+  const auto it = run_of_call_.find({from, id});
+  if (it == run_of_call_.end()) return;
+  const uint64_t number = it->second;
+  counters_.Add(AdmissionCounter::kCancelled);
+  const Run& run = runs_.at(number);
+  if (run.started) {
+    ctx.Emit(CancelBackend{number});
+    TimeOf(run).NoteAtLeast(ctx.Now() - run.started_at, ctx.Now());
+  }
+  EndRun(ctx, number);
+  StartQueued(ctx);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandlePeerLost(Context& ctx, Address peer) {
+  std::vector<uint64_t> ids;
+  for (const auto& [key, number] : run_of_call_) {
+    if (key.first == peer && runs_.at(number).call.repeatable) {
+      ids.push_back(key.second);
+    }
+  }
+  for (const uint64_t id : ids) HandleCancel(ctx, peer, id);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleDeadline(Context& ctx, uint64_t number) {
+  const auto it = runs_.find(number);
+  if (it == runs_.end()) return;
+  if (it->second.started) {
+    CancelStarted(ctx, number);
+    return;
+  }
+  counters_.Add(AdmissionCounter::kExpiredInQueue);
+  const CallKey key = it->second.key;
+  EndRun(ctx, number);
+  Refuse(ctx, key, Errc::kDeadlineExpired);
+}
+
+/// Ends a run past its deadline. An unrepeatable one goes on, so that its
+/// outcome becomes known.
+template <RequestRules Rules>
+void Admission<Rules>::CancelStarted(Context& ctx, uint64_t number) {
+  Run& run = runs_.at(number);
+  if (!Rules::kCancelExpired || !run.call.repeatable) return;
+  counters_.Add(AdmissionCounter::kCancelled);
+  ctx.Emit(CancelBackend{number});
+  TimeOf(run).NoteAtLeast(ctx.Now() - run.started_at, ctx.Now());
+  if (run.head_sent) {
+    AnswerPart part;
+    part.end = AnswerEnd::kBroken;
+    SendPart(ctx, run, std::move(part));
+  } else {
+    ctx.Send(run.key.first, CallFailed{run.key.second, Errc::kDeadlineExpired});
+  }
+  EndRun(ctx, number);
+  StartQueued(ctx);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::EndRun(Context& ctx, uint64_t number) {
+  const auto it = runs_.find(number);
+  if (it->second.started) --slots_in_use_;
+  if (!it->second.started) {
+    queue_.Erase(number);
+  }
+  run_of_call_.erase(it->second.key);
+  runs_.erase(it);
+  ctx.Shared().active_runs = static_cast<uint32_t>(runs_.size());
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::Refuse(Context& ctx, const CallKey& key, Errc reason) {
+  counters_.Add(AdmissionCounter::kRefused);
+  ctx.Send(key.first, CallRefused{key.second, reason});
+}
+
+template <RequestRules Rules>
+uint32_t Admission<Rules>::Slots(Context& ctx) const {
+  return shed_limit_.SlotsAt(ctx.Now(), backend_.slots);
+}
+
+template <RequestRules Rules>
+uint32_t Admission<Rules>::LoadPerMille(Context& ctx) const {
+  const uint32_t slots = Slots(ctx);
+  if (slots == 0) return kPerMille;
+  return (slots_in_use_ + static_cast<uint32_t>(queue_.Size())) * kPerMille /
+         slots;
+}
+
+template <RequestRules Rules>
+ServiceTime& Admission<Rules>::TimeOf(const Run& run) {
+  return service_times_[static_cast<size_t>(run.call.request_class)];
+}
+
+}  // namespace buckthorncart
--- a/Source/Plugins/backend_choice.cc
+++ b/Source/Plugins/backend_choice.cc
@@ -1,50 +1,98 @@
 #include "Plugins/backend_choice.h"
 
+#include <algorithm>
+
 namespace buckthorncart {
 namespace {
 
 /// A load report loses half of its weight in this time.
 constexpr Duration kLoadHalfLife = 500ms;
 constexpr double kPerMille = 1'000.0;
+/// Backend servers with at least this share of slots in use are full; when all
+/// of the own data centre are, others are considered.
+constexpr double kFullShare = 0.9;
+
+double ReportedShare(const Candidate& candidate) {
+  const double half_lives = static_cast<double>(candidate.load_age.count()) /
+                            static_cast<double>(kLoadHalfLife.count());
+  return candidate.load_per_mille / kPerMille / (1.0 + half_lives);
+}
+
+double OwnShare(const Candidate& candidate, uint32_t in_flight) {
+  return static_cast<double>(in_flight) / static_cast<double>(candidate.slots);
+}
 
-/// Indices of the candidates in the own data centre, or of all.
+bool IsFull(const Candidate& candidate) {
+  const double share = std::max(OwnShare(candidate, candidate.in_flight),
+                                ReportedShare(candidate));
+  return share >= kFullShare * candidate.weight;
+}
+
+std::vector<size_t> AllIndices(const std::vector<Candidate>& all) {
+  std::vector<size_t> indices(all.size());
+  for (size_t i = 0; i < all.size(); ++i) indices[i] = i;
+  return indices;
+}
+
+/// Indices of the candidates in the own data centre, or of all when there are
+/// none or all of them are full.
 std::vector<size_t> Nearest(const std::vector<Candidate>& all) {
   std::vector<size_t> near;
+  bool full = true;
   for (size_t i = 0; i < all.size(); ++i) {
-    if (all[i].same_data_centre) near.push_back(i);
+    if (!all[i].same_data_centre) continue;
+    near.push_back(i);
+    full = full && IsFull(all[i]);
   }
-  if (!near.empty()) return near;
-  for (size_t i = 0; i < all.size(); ++i) near.push_back(i);
-  return near;
+  return near.empty() || full ? AllIndices(all) : near;
 }
 
-double Cost(const Candidate& candidate) {
-  const double half_lives = static_cast<double>(candidate.load_age.count()) /
-                            static_cast<double>(kLoadHalfLife.count());
-  const double weight = 1.0 / (1.0 + half_lives);
-  const double reported = candidate.load_per_mille / kPerMille;
-  const double own = static_cast<double>(candidate.in_flight) /
-                     static_cast<double>(candidate.slots);
-  return own + weight * reported;
+/// Load that the candidate would have with one request more.
+double Load(const Candidate& candidate) {
+  return (OwnShare(candidate, candidate.in_flight + 1) +
+          ReportedShare(candidate)) /
+         candidate.weight;
+}
+
+/// Expected time of an answer, in units that only compare.
+double ExpectedTime(const Candidate& candidate) {
+  constexpr double kLeast = 1.0;
+  const auto time = static_cast<double>(candidate.expected_time.count());
+  return Load(candidate) * std::max(time, kLeast);
 }
 
 size_t PickOne(Context& ctx, const std::vector<size_t>& from) {
   return from[ctx.RandomBelow(static_cast<uint32_t>(from.size()))];
 }
 
+/// The one of two random candidates with the lower cost.
+template <typename Cost>
+size_t PickBetter(Context& ctx, const std::vector<Candidate>& all, Cost cost) {
+  const std::vector<size_t> near = Nearest(all);
+  const size_t first = PickOne(ctx, near);
+  const size_t second = PickOne(ctx, near);
+  return cost(all[second]) < cost(all[first]) ? second : first;
+}
+
 }  // namespace
 
 size_t TwoRandomChoices::Pick(Context& ctx,
                               const std::vector<Candidate>& all) const {
-  const std::vector<size_t> near = Nearest(all);
-  const size_t first = PickOne(ctx, near);
-  const size_t second = PickOne(ctx, near);
-  return Cost(all[second]) < Cost(all[first]) ? second : first;
+  return PickBetter(ctx, all, Load);
+}
+
+size_t LeastTimeChoice::Pick(Context& ctx,
+                             const std::vector<Candidate>& all) const {
+  return PickBetter(ctx, all, ExpectedTime);
 }
 
 size_t UniformChoice::Pick(Context& ctx,
                            const std::vector<Candidate>& all) const {
-  return PickOne(ctx, Nearest(all));
+  std::vector<size_t> near;
+  for (size_t i = 0; i < all.size(); ++i) {
+    if (all[i].same_data_centre) near.push_back(i);
+  }
+  return PickOne(ctx, near.empty() ? AllIndices(all) : near);
 }
 
 }  // namespace buckthorncart
--- a/Source/Plugins/drain.cc
+++ b/Source/Plugins/drain.cc
@@ -16,7 +16,10 @@
 /// Peers have learned of the drain and callers have been told to go elsewhere
 /// when nothing has been in flight for so long.
 constexpr Duration kQuietBeforeExit = 1s;
-constexpr Duration kMaxDrain = 60s;
+/// Callers that go on sending after so long are refused.
+constexpr Duration kCallersGrace = 10s;
+/// Longest deadline of a request, after which nothing can be in flight.
+constexpr Duration kMaxDrain = 1h;
 
 }  // namespace
 
@@ -40,9 +43,12 @@
 void Drain::ExitWhenIdle(Context& ctx) {
   const bool busy =
       ctx.Shared().active_runs > 0 || ctx.Shared().active_calls > 0;
+  const Duration lasted = ctx.Now() - began_;
   if (busy) busy_at_ = ctx.Now();
+  if (lasted >= kCallersGrace) ctx.Shared().refusing_callers = true;
   const bool quiet = ctx.Now() - busy_at_ >= kQuietBeforeExit;
-  if (!quiet && ctx.Now() - began_ < kMaxDrain) return;
+  const bool done = quiet || (ctx.Shared().refusing_callers && !busy);
+  if (!done && lasted < kMaxDrain) return;
   ctx.Log(LogTopic::kDrained, {});
   ctx.Emit(Exit{});
 }
--- a/Source/Plugins/receiving.cc
+++ b/Source/Plugins/receiving.cc
@@ -1,14 +1,30 @@
 #include "Plugins/receiving.h"
 
+#include <memory>
+
 #include "Kernel/plugin_registry.h"
 
 namespace buckthorncart {
 namespace {
 
-const PluginRegistration kRegistration(
-    PluginRank::kReceiving, [](const KernelSettings& settings) {
-      return std::make_unique<Receiving<TwoRandomChoices>>(settings);
-    });
+template <BackendChoice Choice>
+std::unique_ptr<Plugin> CreateWith(const KernelSettings& settings) {
+  return std::make_unique<Receiving<Choice, StandardRequestRules>>(settings);
+}
+
+std::unique_ptr<Plugin> Create(const KernelSettings& settings) {
+  switch (settings.choice) {
+    case ChoicePolicy::kUniform:
+      return CreateWith<UniformChoice>(settings);
+    case ChoicePolicy::kLeastTime:
+      return CreateWith<LeastTimeChoice>(settings);
+    case ChoicePolicy::kTwoRandom:
+      break;
+  }
+  return CreateWith<TwoRandomChoices>(settings);
+}
+
+const PluginRegistration kRegistration(PluginRank::kReceiving, Create);
 
 }  // namespace
 }  // namespace buckthorncart
--- a/Source/Plugins/receiving.h
+++ b/Source/Plugins/receiving.h
@@ -16,7 +16,8 @@
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
 #include "Plugins/backend_choice.h"
-#include "Plugins/ejection.h"
+#include "Plugins/peer_loads.h"
+#include "Plugins/request_rules.h"
 #include "Plugins/retry_budget.h"
 #include "Wire/http.h"
 #include "Wire/peer_messages.h"
@@ -32,20 +33,24 @@
   kRetries,
   kCallersLeft,
   kEjections,
+  kTooLate,
+  kBrokenOrder,
 };
 
 template <>
 struct EnumNames<ReceivingCounter> {
   static constexpr std::string_view kNames[] = {
-      "calls_total",         "call_attempts_total", "calls_ran_total",
-      "calls_not_run_total", "calls_unknown_total", "call_retries_total",
-      "callers_left_total",  "ejections_total"};
+      "calls_total",          "call_attempts_total",
+      "calls_ran_total",      "calls_not_run_total",
+      "calls_unknown_total",  "call_retries_total",
+      "callers_left_total",   "ejections_total",
+      "calls_too_late_total", "answers_out_of_order_total"};
 };
 
 /// Routes a call by the snapshot held when it arrived, hands it to the daemon
 /// beside a backend server and retries it only where that cannot run it
 /// twice: after a refusal "not run", or when the call is repeatable.
-template <BackendChoice Choice>
+template <BackendChoice Choice, RequestRules Rules>
 class Receiving : public Plugin {
  public:
   explicit Receiving(const KernelSettings& settings);
@@ -67,13 +72,12 @@
     Address admitting;
     std::set<Address> tried;
     bool head_sent = false;
-  };
-  /// What is known of a peer's backend server.
-  struct PeerLoad {
-    uint32_t in_flight = 0;
-    uint32_t load_per_mille = 0;
-    Time at{};
-    Ejection ejection;
+    /// When the current attempt was sent.
+    Time sent_at{};
+    /// An earlier attempt ended without a word on whether it ran.
+    bool may_have_run = false;
+    /// Parts of the current attempt's answer that have arrived.
+    uint32_t parts = 0;
   };
 
   void HandleRequest(Context& ctx, const CallerRequested& requested);
@@ -84,16 +88,25 @@
   void HandlePeerLost(Context& ctx, Address peer);
   void HandleCallerLeft(Context& ctx, uint64_t call);
   void HandleDeadline(Context& ctx, uint64_t call);
+  void HandleMemberChanged(Context& ctx, Address address);
 
   void Attempt(Context& ctx, Active& active);
-  void RetryOrAnswer(Context& ctx, Active& active, Errc reason,
-                     Outcome outcome);
+  void RetryOrAnswer(Context& ctx, Active& active, Errc reason, Outcome outcome,
+                     bool charged);
   std::vector<Candidate> Candidates(Context& ctx, const Active& active) const;
   void AddCandidate(Context& ctx, const Active& active, const Member& member,
                     std::vector<Candidate>& candidates) const;
   void NoteFailure(Context& ctx, Address peer);
+  void NoteRefusal(Context& ctx, Address from, Errc reason);
+  void HandleMissingPart(Context& ctx, Active& active, Address from);
+  void RemoveUnsuitable(Context& ctx, const Active& active,
+                        std::vector<Candidate>& candidates) const;
+  bool HasTime(Context& ctx, const Active& active,
+               const Candidate& candidate) const;
+  bool MayRetry(Context& ctx, const Active& active, bool charged);
   Active* FindFrom(Address from, uint64_t id);
   void ReleasePeer(const Active& active);
+  void BreakAnswer(Context& ctx, uint64_t call);
   void AnswerFailure(Context& ctx, uint64_t call, Errc reason, Outcome outcome);
   void CountOutcome(Outcome outcome);
   void Finish(Context& ctx, uint64_t call);
@@ -101,7 +114,7 @@
   Choice choice_;
   RetryBudget retry_budget_;
   std::map<uint64_t, Active> active_;
-  std::map<Address, PeerLoad> loads_;
+  PeerLoads<Rules> loads_;
   Counters<ReceivingCounter> counters_;
 };
 
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -15,19 +15,19 @@
 /// Longest deadline that a caller may give, milliseconds.
 inline constexpr uint32_t kMaxDeadlineMs = 3'600'000;
 
-template <BackendChoice Choice>
-Receiving<Choice>::Receiving(const KernelSettings& settings)
+template <BackendChoice Choice, RequestRules Rules>
+Receiving<Choice, Rules>::Receiving(const KernelSettings& settings)
     : retry_budget_(settings.retry_budget_percent) {}
 
-template <BackendChoice Choice>
-void Receiving<Choice>::Attach(Context& ctx) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::Attach(Context& ctx) {
   ctx.AllMetrics().Add(&counters_);
   ctx.AllMetrics().AddGauge(
       "calls_active", [this] { return static_cast<double>(active_.size()); });
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::Handle(Context& ctx, const Event& event) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::Handle(Context& ctx, const Event& event) {
   if (const auto* requested = std::get_if<CallerRequested>(&event)) {
     HandleRequest(ctx, *requested);
   } else if (const auto* message = std::get_if<PeerMessageReceived>(&event)) {
@@ -40,12 +40,16 @@
     if (timer->kind == TimerKind::kCallDeadline) {
       HandleDeadline(ctx, timer->argument);
     }
+  } else if (const auto* changed = std::get_if<MemberChanged>(&event)) {
+    HandleMemberChanged(ctx, changed->address);
+  } else if (std::holds_alternative<LocalBackendChanged>(event)) {
+    loads_.NoteMember(ctx.Shared().self, ctx.Now());
   }
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::HandleRequest(Context& ctx,
-                                      const CallerRequested& requested) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandleRequest(Context& ctx,
+                                             const CallerRequested& requested) {
   counters_.Add(ReceivingCounter::kCalls);
   retry_budget_.NoteCall();
   const uint64_t call = requested.call;
@@ -54,6 +58,10 @@
     AnswerFailure(ctx, call, Errc::kNotReady, Outcome::kNotRun);
     return;
   }
+  if (ctx.Shared().refusing_callers) {
+    AnswerFailure(ctx, call, Errc::kDraining, Outcome::kNotRun);
+    return;
+  }
   const SnapshotPtr& held = ctx.Shared().held;
   const Route* route = held->configuration.FindRoute(request.path);
   if (route == nullptr) {
@@ -95,19 +103,35 @@
   Attempt(ctx, active);
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::Attempt(Context& ctx, Active& active) {
-  const std::vector<Candidate> candidates = Candidates(ctx, active);
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandleMemberChanged(Context& ctx,
+                                                   Address address) {
+  const auto it = ctx.Shared().members.find(address);
+  if (it != ctx.Shared().members.end()) {
+    loads_.NoteMember(it->second, ctx.Now());
+  }
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::Attempt(Context& ctx, Active& active) {
+  std::vector<Candidate> candidates = Candidates(ctx, active);
+  const bool none = candidates.empty();
+  RemoveUnsuitable(ctx, active, candidates);
   if (candidates.empty()) {
-    AnswerFailure(ctx, active.call, Errc::kNoBackendServer, Outcome::kNotRun);
+    if (!none) counters_.Add(ReceivingCounter::kTooLate);
+    AnswerFailure(ctx, active.call,
+                  none ? Errc::kNoBackendServer : Errc::kDeadlineExpired,
+                  Outcome::kNotRun);
     Finish(ctx, active.call);
     return;
   }
   const Candidate& chosen = candidates[choice_.Pick(ctx, candidates)];
   active.admitting = chosen.daemon;
   active.tried.insert(chosen.daemon);
+  active.sent_at = ctx.Now();
+  active.parts = 0;
   ++active.attempts;
-  ++loads_[chosen.daemon].in_flight;
+  loads_.NoteSent(chosen.daemon);
   counters_.Add(ReceivingCounter::kAttempts);
   const auto remaining = ToMilliseconds(active.deadline - ctx.Now());
   ctx.Send(chosen.daemon,
@@ -117,62 +141,76 @@
                 active.fingerprint, active.request});
 }
 
-template <BackendChoice Choice>
-std::vector<Candidate> Receiving<Choice>::Candidates(
+template <BackendChoice Choice, RequestRules Rules>
+std::vector<Candidate> Receiving<Choice, Rules>::Candidates(
     Context& ctx, const Active& active) const {
   std::vector<Candidate> candidates;
   AddCandidate(ctx, active, ctx.Shared().self, candidates);
   for (const auto& [address, member] : ctx.Shared().members) {
     AddCandidate(ctx, active, member, candidates);
   }
+  return candidates;
+}
+
+/// Leaves out those that would answer too late, and those that fail.
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::RemoveUnsuitable(
+    Context& ctx, const Active& active,
+    std::vector<Candidate>& candidates) const {
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return !HasTime(ctx, active, candidate);
+  });
   const auto ejected = [&](const Candidate& candidate) {
-    const auto it = loads_.find(candidate.daemon);
-    return it != loads_.end() && it->second.ejection.IsEjected(ctx.Now());
+    return candidate.suspect || loads_.IsEjected(candidate.daemon, ctx.Now());
   };
   // A candidate that may fail is better than none.
   if (!std::all_of(candidates.begin(), candidates.end(), ejected)) {
     std::erase_if(candidates, ejected);
   }
-  return candidates;
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::NoteFailure(Context& ctx, Address peer) {
-  if (!loads_[peer].ejection.NoteFailure(ctx.Now())) return;
+template <BackendChoice Choice, RequestRules Rules>
+bool Receiving<Choice, Rules>::HasTime(Context& ctx, const Active& active,
+                                       const Candidate& candidate) const {
+  if (!Rules::kCheckServiceTime) return true;
+  const Duration remaining = active.deadline - ctx.Now();
+  return remaining >= std::max<Duration>(candidate.expected_time, 1ms);
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::NoteFailure(Context& ctx, Address peer) {
+  if (!loads_.NoteFailure(peer, ctx.Now())) return;
   counters_.Add(ReceivingCounter::kEjections);
   ctx.Log(LogTopic::kEjected, {{"daemon", peer.ToString()}});
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::AddCandidate(Context& ctx, const Active& active,
-                                     const Member& member,
-                                     std::vector<Candidate>& candidates) const {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::AddCandidate(
+    Context& ctx, const Active& active, const Member& member,
+    std::vector<Candidate>& candidates) const {
   const BackendAnnouncement& backend = member.backend;
   if (backend.state != BackendState::kReady) return;
   if (backend.service != active.route.service) return;
-  if (member.status != MemberStatus::kAlive) return;
+  if (member.status > MemberStatus::kSuspect) return;
   if (active.tried.contains(member.address)) return;
+  if (loads_.IsDropped(member, ctx.Now())) return;
   if (!active.snapshot->configuration.Allows(
           backend.service, active.route.request_class, member.data_centre,
           backend.labels)) {
     return;
   }
-  Candidate candidate;
-  candidate.daemon = member.address;
+  const Duration slow_start =
+      std::chrono::milliseconds(ctx.Settings().slow_start_ms);
+  Candidate candidate = loads_.Describe(member, active.route.request_class,
+                                        slow_start, ctx.Now());
+  candidate.suspect = member.status == MemberStatus::kSuspect;
   candidate.same_data_centre = member.data_centre == ctx.Settings().data_centre;
-  candidate.slots = std::max(backend.slots, 1U);
-  const auto it = loads_.find(member.address);
-  if (it != loads_.end()) {
-    candidate.in_flight = it->second.in_flight;
-    candidate.load_per_mille = it->second.load_per_mille;
-    candidate.load_age = ctx.Now() - it->second.at;
-  }
   candidates.push_back(candidate);
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::HandlePeerMessage(Context& ctx,
-                                          const PeerMessageReceived& received) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandlePeerMessage(
+    Context& ctx, const PeerMessageReceived& received) {
   const PeerMessage& message = received.message;
   if (const auto* refused = std::get_if<CallRefused>(&message)) {
     HandleRefused(ctx, received.from, *refused);
@@ -183,34 +221,77 @@
   }
 }
 
-template <BackendChoice Choice>
-typename Receiving<Choice>::Active* Receiving<Choice>::FindFrom(Address from,
-                                                                uint64_t id) {
+template <BackendChoice Choice, RequestRules Rules>
+typename Receiving<Choice, Rules>::Active* Receiving<Choice, Rules>::FindFrom(
+    Address from, uint64_t id) {
   const auto it = active_.find(id);
   if (it == active_.end() || it->second.admitting != from) return nullptr;
   return &it->second;
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::HandleRefused(Context& ctx, Address from,
-                                      const CallRefused& refused) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandleRefused(Context& ctx, Address from,
+                                             const CallRefused& refused) {
   Active* active = FindFrom(from, refused.id);
   if (active == nullptr) return;
   ReleasePeer(*active);
-  if (refused.reason == Errc::kBackendServerFailed) NoteFailure(ctx, from);
-  RetryOrAnswer(ctx, *active, refused.reason, Outcome::kNotRun);
+  NoteRefusal(ctx, from, refused.reason);
+  // A daemon that leaves is not asked again, so that retries elsewhere cannot
+  // add up and need no budget.
+  const bool leaves =
+      refused.reason == Errc::kDraining || refused.reason == Errc::kNotReady;
+  if (leaves) --active->attempts;
+  RetryOrAnswer(ctx, *active, refused.reason, Outcome::kNotRun, !leaves);
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::NoteRefusal(Context& ctx, Address from,
+                                           Errc reason) {
+  switch (reason) {
+    case Errc::kBackendServerFailed:
+      NoteFailure(ctx, from);
+      break;
+    case Errc::kOverloaded:
+      loads_.NoteOverloaded(from, ctx.Now());
+      break;
+    case Errc::kDraining:
+    case Errc::kNotReady:
+    case Errc::kNoBackendServer: {
+      const auto it = ctx.Shared().members.find(from);
+      const bool known = it != ctx.Shared().members.end();
+      if (known) loads_.NoteUnavailable(it->second, ctx.Now());
+      break;
+    }
+    default:
+      break;
+  }
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::RetryOrAnswer(Context& ctx, Active& active, Errc reason,
-                                      Outcome outcome) {
+template <BackendChoice Choice, RequestRules Rules>
+bool Receiving<Choice, Rules>::MayRetry(Context& ctx, const Active& active,
+                                        bool charged) {
+  if (active.attempts >= ctx.Settings().max_attempts) return false;
+  if (ctx.Now() >= active.deadline) return false;
+  std::vector<Candidate> candidates = Candidates(ctx, active);
+  RemoveUnsuitable(ctx, active, candidates);
+  if (candidates.empty()) return false;
+  return !charged || !Rules::kBoundRetries ||
+         retry_budget_.Spend(active.route.request_class);
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::RetryOrAnswer(Context& ctx, Active& active,
+                                             Errc reason, Outcome outcome,
+                                             bool charged) {
+  active.admitting = {};
+  if (active.head_sent) {
+    BreakAnswer(ctx, active.call);
+    return;
+  }
+  if (outcome != Outcome::kNotRun) active.may_have_run = true;
   const bool may_run_again =
       outcome == Outcome::kNotRun || active.route.repeatable;
-  const bool attempts_left = active.attempts < ctx.Settings().max_attempts &&
-                             ctx.Now() < active.deadline;
-  active.admitting = {};
-  if (may_run_again && attempts_left && !Candidates(ctx, active).empty() &&
-      retry_budget_.Spend()) {
+  if (may_run_again && MayRetry(ctx, active, charged)) {
     counters_.Add(ReceivingCounter::kRetries);
     Attempt(ctx, active);
     return;
@@ -219,15 +300,30 @@
   Finish(ctx, active.call);
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::HandleAnswer(Context& ctx, Address from,
-                                     const CallAnswer& answer) {
+/// Ends an answer that has begun, so that it cannot be taken as whole.
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::BreakAnswer(Context& ctx, uint64_t call) {
+  AnswerPart part;
+  part.end = AnswerEnd::kBroken;
+  ctx.Emit(AnswerCaller{call, std::move(part), true});
+  CountOutcome(Outcome::kUnknown);
+  Finish(ctx, call);
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandleAnswer(Context& ctx, Address from,
+                                            const CallAnswer& answer) {
   Active* active = FindFrom(from, answer.id);
   if (active == nullptr) return;
-  PeerLoad& load = loads_[from];
-  load.load_per_mille = answer.load;
-  load.at = ctx.Now();
-  load.ejection.NoteAnswer();
+  if (Rules::kCheckPartOrder && answer.sequence != 0) {
+    if (answer.sequence <= active->parts) return;
+    if (answer.sequence > active->parts + 1) {
+      HandleMissingPart(ctx, *active, from);
+      return;
+    }
+    active->parts = answer.sequence;
+  }
+  loads_.NoteLoad(from, answer.load, ctx.Now());
   AnswerPart part = answer.part;
   if (part.IsHead()) {
     part.headers.push_back(
@@ -238,22 +334,34 @@
   ctx.Emit(AnswerCaller{active->call, std::move(part), ctx.Shared().draining});
   if (end == AnswerEnd::kMore) return;
   ReleasePeer(*active);
+  loads_.NoteTime(from, active->route.request_class,
+                  ctx.Now() - active->sent_at, ctx.Now());
   CountOutcome(Outcome::kRan);
   Finish(ctx, active->call);
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::HandleFailed(Context& ctx, Address from,
-                                     const CallFailed& failed) {
+/// A part of the answer was lost on the way.
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandleMissingPart(Context& ctx, Active& active,
+                                                 Address from) {
+  counters_.Add(ReceivingCounter::kBrokenOrder);
+  ReleasePeer(active);
+  if (active.route.repeatable) ctx.Send(from, CancelCall{active.call});
+  RetryOrAnswer(ctx, active, Errc::kConnectionLost, Outcome::kUnknown, true);
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandleFailed(Context& ctx, Address from,
+                                            const CallFailed& failed) {
   Active* active = FindFrom(from, failed.id);
   if (active == nullptr) return;
   ReleasePeer(*active);
   NoteFailure(ctx, from);
-  RetryOrAnswer(ctx, *active, failed.reason, Outcome::kUnknown);
+  RetryOrAnswer(ctx, *active, failed.reason, Outcome::kUnknown, true);
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::HandlePeerLost(Context& ctx, Address peer) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandlePeerLost(Context& ctx, Address peer) {
   std::vector<uint64_t> calls;
   for (const auto& [call, active] : active_) {
     if (active.admitting == peer) calls.push_back(call);
@@ -262,20 +370,12 @@
   for (const uint64_t call : calls) {
     Active& active = active_.at(call);
     ReleasePeer(active);
-    if (!active.head_sent) {
-      RetryOrAnswer(ctx, active, Errc::kConnectionLost, Outcome::kUnknown);
-      continue;
-    }
-    AnswerPart part;
-    part.end = AnswerEnd::kBroken;
-    ctx.Emit(AnswerCaller{call, std::move(part), true});
-    CountOutcome(Outcome::kUnknown);
-    Finish(ctx, call);
+    RetryOrAnswer(ctx, active, Errc::kConnectionLost, Outcome::kUnknown, true);
   }
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::HandleCallerLeft(Context& ctx, uint64_t call) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandleCallerLeft(Context& ctx, uint64_t call) {
   const auto it = active_.find(call);
   if (it == active_.end()) return;
   counters_.Add(ReceivingCounter::kCallersLeft);
@@ -288,40 +388,41 @@
   Finish(ctx, call);
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::HandleDeadline(Context& ctx, uint64_t call) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandleDeadline(Context& ctx, uint64_t call) {
   const auto it = active_.find(call);
   if (it == active_.end()) return;
   Active& active = it->second;
   ReleasePeer(active);
   if (active.route.repeatable) ctx.Send(active.admitting, CancelCall{call});
+  loads_.NoteGivenUp(active.admitting, active.route.request_class,
+                     ctx.Now() - active.sent_at, ctx.Now());
   if (active.head_sent) {
-    AnswerPart part;
-    part.end = AnswerEnd::kBroken;
-    ctx.Emit(AnswerCaller{call, std::move(part), true});
-    CountOutcome(Outcome::kUnknown);
-  } else {
-    AnswerFailure(ctx, call, Errc::kDeadlineExpired, Outcome::kUnknown);
+    BreakAnswer(ctx, call);
+    return;
   }
+  AnswerFailure(ctx, call, Errc::kDeadlineExpired, Outcome::kUnknown);
   Finish(ctx, call);
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::ReleasePeer(const Active& active) {
-  const auto it = loads_.find(active.admitting);
-  if (it != loads_.end() && it->second.in_flight > 0) --it->second.in_flight;
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::ReleasePeer(const Active& active) {
+  loads_.NoteDone(active.admitting);
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::AnswerFailure(Context& ctx, uint64_t call, Errc reason,
-                                      Outcome outcome) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::AnswerFailure(Context& ctx, uint64_t call,
+                                             Errc reason, Outcome outcome) {
+  const auto it = active_.find(call);
+  const bool may_have_run = it != active_.end() && it->second.may_have_run;
+  if (Rules::kRememberAttempts && may_have_run) outcome = Outcome::kUnknown;
   CountOutcome(outcome);
   ctx.Emit(AnswerCaller{call, MakeFailureAnswer(reason, outcome),
                         ctx.Shared().draining});
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::CountOutcome(Outcome outcome) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::CountOutcome(Outcome outcome) {
   switch (outcome) {
     case Outcome::kRan:
       counters_.Add(ReceivingCounter::kAnsweredRan);
@@ -335,8 +436,8 @@
   }
 }
 
-template <BackendChoice Choice>
-void Receiving<Choice>::Finish(Context& ctx, uint64_t call) {
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::Finish(Context& ctx, uint64_t call) {
   active_.erase(call);
   ctx.Shared().active_calls = static_cast<uint32_t>(active_.size());
 }
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -127,7 +127,9 @@
   uint64_t id = 0;
   AnswerPart part;
   uint32_t load = 0;
-  MSGPACK_DEFINE(id, part, load)
+  /// Number of the part, from 1; 0 from daemons that do not number them.
+  uint32_t sequence = 0;
+  MSGPACK_DEFINE(id, part, load, sequence)
 };
 
 /// The call may have run; no answer can be had from its backend server.
--- /dev/null
+++ b/Tests/Requests/drain_test.cc
@@ -0,0 +1,129 @@
+#include <doctest/doctest.h>
+
+#include "Requests/request_fleet.h"
+
+namespace buckthorncart {
+namespace {
+
+constexpr uint32_t kServers = 6;
+constexpr uint32_t kSlots = 4;
+constexpr Duration kTime = 20ms;
+/// 80% of the slots that are left while three of six drain: 3 * 4 / 20 ms.
+constexpr uint32_t kPerSecond = 480;
+constexpr Duration kMaxDelay = 2s;
+
+struct DrainResult {
+  uint64_t not_whole = 0;
+  uint64_t late_runs = 0;
+};
+
+/// Three backend servers drain while requests flow; `drain` begins it.
+DrainResult DrainThree(const std::function<void(RequestFleet&)>& drain,
+                       const std::function<bool(const Effect&)>& pass) {
+  RequestFleet test(PluginsWith<StandardRequestRules>, {2, kServers, kSlots});
+  for (uint32_t i = 0; i < kServers; ++i) {
+    test.fleet.Behaviours()[test.First() + i].time = kTime;
+  }
+  std::vector<uint64_t> calls;
+  const auto send_for = [&](Duration duration) {
+    const Time end = test.fleet.Now() + duration;
+    while (test.fleet.Now() < end) {
+      calls.push_back(test.Get(1 + calls.size() % 2, "/proofs", 2'000));
+      test.fleet.Advance(Duration(1s) / kPerSecond);
+    }
+  };
+  const auto runs_of_three = [&] {
+    uint64_t runs = 0;
+    for (uint32_t i = 0; i < 3; ++i) {
+      runs += test.fleet.RunsAt(test.First() + i);
+    }
+    return runs;
+  };
+  send_for(1s);
+  drain(test);
+  test.fleet.SetFilter(
+      [&](Address, const Effect& effect) { return pass(effect); });
+  send_for(kMaxDelay);
+  const uint64_t before = runs_of_three();
+  send_for(2s);
+  test.fleet.Advance(3s);
+  DrainResult result;
+  result.late_runs = runs_of_three() - before;
+  for (const uint64_t call : calls) {
+    if (!test.IsWhole(call)) ++result.not_whole;
+  }
+  return result;
+}
+
+void DrainBackends(RequestFleet& test) {
+  for (uint32_t i = 0; i < 3; ++i) {
+    test.Announce(test.First() + i, "draining");
+  }
+}
+
+void DrainDaemons(RequestFleet& test) {
+  for (uint32_t i = 0; i < 3; ++i) {
+    FakeDaemon& daemon = test.fleet.At(test.First() + i);
+    daemon.Deliver(test.fleet.Now(), ShutdownRequested{});
+  }
+}
+
+bool PassAll(const Effect& /*effect*/) { return true; }
+bool PassNoDatagram(const Effect& effect) {
+  return !std::holds_alternative<SendDatagram>(effect);
+}
+
+TEST_CASE("drain: three backend servers leave and no request is cut") {
+  const DrainResult result = DrainThree(DrainBackends, PassAll);
+  CHECK(result.not_whole == 0);
+  CHECK(result.late_runs == 0);
+}
+
+TEST_CASE("drain: refusals suffice when the news of the drain is lost") {
+  const DrainResult result = DrainThree(DrainBackends, PassNoDatagram);
+  CHECK(result.not_whole == 0);
+  CHECK(result.late_runs == 0);
+}
+
+TEST_CASE("drain: three daemons leave and no request is cut") {
+  const DrainResult result = DrainThree(DrainDaemons, PassAll);
+  CHECK(result.not_whole == 0);
+  CHECK(result.late_runs == 0);
+}
+
+TEST_CASE("drain control: daemons that are killed cut requests") {
+  const auto kill = [](RequestFleet& test) {
+    for (uint32_t i = 0; i < 3; ++i) test.fleet.Kill(test.First() + i);
+  };
+  CHECK(DrainThree(kill, PassAll).not_whole > 0);
+}
+
+TEST_CASE("drain control: a server that does not announce it gets new work") {
+  CHECK(DrainThree([](RequestFleet&) {}, PassAll).late_runs > 0);
+}
+
+TEST_CASE("drain: callers that stay are refused and the daemon ends") {
+  RequestFleet test(PluginsWith<StandardRequestRules>, {1, 1, kSlots});
+  test.fleet.Behaviours()[2].time = kTime;
+  bool exited = false;
+  test.fleet.SetFilter([&](Address, const Effect& effect) {
+    exited = exited || std::holds_alternative<Exit>(effect);
+    return true;
+  });
+  test.fleet.At(1).Deliver(test.fleet.Now(), ShutdownRequested{});
+  std::vector<uint64_t> calls;
+  const Time limit = test.fleet.Now() + 20s;
+  while (!exited && test.fleet.Now() < limit) {
+    calls.push_back(test.Get(1, "/proofs", 2'000));
+    test.fleet.Advance(10ms);
+  }
+  CHECK(exited);
+  for (const uint64_t call : calls) {
+    const bool refused =
+        test.Outcome(call) == "not-run" && test.Reason(call) == "draining";
+    CHECK((test.IsWhole(call) || refused));
+  }
+}
+
+}  // namespace
+}  // namespace buckthorncart
--- /dev/null
+++ b/Tests/Requests/request_fleet.h
@@ -0,0 +1,95 @@
+#pragma once
+/// \file
+/// Fleets for tests of requests, with rules that a test can switch off.
+
+#include <memory>
+#include <string>
+
+#include "Plugins/admission.h"
+#include "Plugins/receiving.h"
+#include "Support/fake_fleet.h"
+
+namespace buckthorncart {
+
+/// The standard plug-ins, with admission and receiving by other rules.
+template <RequestRules Rules, BackendChoice Choice = TwoRandomChoices>
+FakeDaemon::Plugins PluginsWith(const KernelSettings& settings) {
+  using StandardReceiving = Receiving<TwoRandomChoices, StandardRequestRules>;
+  using StandardAdmission = Admission<StandardRequestRules>;
+  FakeDaemon::Plugins plugins = StandardPlugins(settings);
+  for (auto& plugin : plugins) {
+    if (dynamic_cast<StandardAdmission*>(plugin.get()) != nullptr) {
+      plugin = std::make_unique<Admission<Rules>>();
+    } else if (dynamic_cast<StandardReceiving*>(plugin.get()) != nullptr) {
+      plugin = std::make_unique<Receiving<Choice, Rules>>(settings);
+    }
+  }
+  return plugins;
+}
+
+/// Daemons 1 to `receivers` only receive; the next `servers` have a backend
+/// server of service catalogus with `slots` slots.
+struct RequestFleet {
+  struct Size {
+    uint32_t receivers = 1;
+    uint32_t servers = 2;
+    uint32_t slots = 4;
+    /// Data centres of the backend servers, by turns.
+    std::vector<std::string> data_centres = {"nl-west-a"};
+  };
+
+  RequestFleet(FakeFleet::PluginFactory plugins, const Size& size)
+      : fleet(std::move(plugins)), size(size) {
+    for (uint32_t n = 1; n <= size.receivers; ++n) fleet.Add(n, "nl-west-a");
+    for (uint32_t i = 0; i < size.servers; ++i) {
+      fleet.Add(First() + i, size.data_centres[i % size.data_centres.size()]);
+    }
+    fleet.StartAll();
+    for (uint32_t i = 0; i < size.servers; ++i) {
+      fleet.Behaviours()[First() + i].slots = size.slots;
+      Announce(First() + i);
+    }
+    fleet.Advance(3s);
+    fleet.Ask(1, "POST", "/v1/changes",
+              "create service catalogus\n"
+              "create route proofs path=/proofs service=catalogus\n"
+              "create route exports path=/exports service=catalogus "
+              "class=bulk\n");
+    fleet.Advance(3s);
+  }
+
+  /// Number of the first daemon with a backend server.
+  uint32_t First() const { return size.receivers + 1; }
+  void Announce(uint32_t n, const std::string& state = "ready") {
+    fleet.Announce(n, "catalogus", state, size.slots);
+  }
+  uint64_t Get(uint32_t n, const std::string& path, uint32_t deadline_ms) {
+    return fleet.Call(
+        n, {"GET",
+            path,
+            {{std::string(header::kDeadline), std::to_string(deadline_ms)}},
+            ""});
+  }
+  AnswerPart& Answer(uint64_t call) { return fleet.CallerAnswers()[call]; }
+  std::string Outcome(uint64_t call) {
+    return std::string(FindHeader(Answer(call).headers, header::kOutcome));
+  }
+  std::string Reason(uint64_t call) {
+    return std::string(FindHeader(Answer(call).headers, header::kReason));
+  }
+  bool IsWhole(uint64_t call) {
+    constexpr uint16_t kHttpOk = 200;
+    const AnswerPart& answer = Answer(call);
+    return answer.status == kHttpOk && answer.end == AnswerEnd::kComplete;
+  }
+  uint64_t Counted(const std::string& name) {
+    uint64_t sum = 0;
+    for (const uint32_t n : fleet.Numbers()) sum += fleet.At(n).Counter(name);
+    return sum;
+  }
+
+  FakeFleet fleet;
+  Size size;
+};
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Tests/Requests/routing_test.cc
@@ -0,0 +1,113 @@
+#include <doctest/doctest.h>
+
+#include "Requests/request_fleet.h"
+
+namespace buckthorncart {
+namespace {
+
+struct Forgetful : StandardRequestRules {
+  static constexpr bool kRememberAttempts = false;
+};
+struct NoDrop : StandardRequestRules {
+  static constexpr bool kDropRefusing = false;
+};
+struct NoSlowStart : StandardRequestRules {
+  static constexpr bool kSlowStart = false;
+};
+
+/// Outcome of a call whose first attempt ran and broke, and whose second was
+/// refused.
+template <RequestRules Rules>
+std::string OutcomeAfterBrokenRun() {
+  RequestFleet test(PluginsWith<Rules>, {1, 2, 4});
+  test.fleet.Behaviours()[2].fault = BackendFault::kConnectionBroken;
+  test.fleet.Behaviours()[3].fault = BackendFault::kNotConnected;
+  std::string outcome = "not-run";
+  for (int i = 0; i < 10; ++i) {
+    const uint64_t runs = test.fleet.RunsAt(2);
+    const uint64_t call = test.Get(1, "/proofs", 1'000);
+    test.fleet.Advance(100ms);
+    if (test.fleet.RunsAt(2) == runs) continue;
+    outcome = test.Outcome(call);
+    if (outcome == "not-run") break;
+  }
+  return outcome;
+}
+
+TEST_CASE("routing: not-run is not said after an attempt that may have run") {
+  CHECK(OutcomeAfterBrokenRun<StandardRequestRules>() == "unknown");
+  CHECK(OutcomeAfterBrokenRun<Forgetful>() == "not-run");
+}
+
+/// Refusals met by calls after a backend server began to drain, while its
+/// daemon's news is lost.
+template <RequestRules Rules>
+uint64_t RefusalsOfDrainingServer() {
+  RequestFleet test(PluginsWith<Rules>, {1, 2, 4});
+  test.fleet.SetFilter([](Address, const Effect& effect) {
+    return !std::holds_alternative<SendDatagram>(effect);
+  });
+  test.Announce(2, "draining");
+  const uint64_t before = test.Counted("admission_refused_total");
+  for (int i = 0; i < 40; ++i) {
+    const uint64_t call = test.Get(1, "/proofs", 1'000);
+    test.fleet.Advance(10ms);
+    CHECK(test.IsWhole(call));
+  }
+  return test.Counted("admission_refused_total") - before;
+}
+
+TEST_CASE("routing: a daemon that refuses as draining is left out") {
+  CHECK(RefusalsOfDrainingServer<StandardRequestRules>() <= 1);
+  CHECK(RefusalsOfDrainingServer<NoDrop>() > 1);
+}
+
+/// Share of the calls that a new backend server gets in its first 200 ms.
+template <RequestRules Rules>
+double ShareOfNewServer() {
+  constexpr int kCalls = 400;
+  RequestFleet test(PluginsWith<Rules>, {1, 4, 8});
+  for (uint32_t n = 2; n <= 5; ++n) test.fleet.Behaviours()[n].time = 4ms;
+  test.Announce(5, "starting");
+  test.fleet.Advance(2s);
+  test.Announce(5, "ready");
+  const bool known = test.fleet.AdvanceUntil(
+      [&] {
+        const auto& members = test.fleet.At(1).GetContext().Shared().members;
+        const Member& member = members.at(test.fleet.At(5).Self());
+        return member.backend.state == BackendState::kReady;
+      },
+      5s);
+  REQUIRE(known);
+  const uint64_t runs = test.fleet.RunsAt(5);
+  for (int i = 0; i < kCalls; ++i) {
+    test.Get(1, "/proofs", 1'000);
+    test.fleet.Advance(500us);
+  }
+  return static_cast<double>(test.fleet.RunsAt(5) - runs) / kCalls;
+}
+
+TEST_CASE("routing: a new backend server takes its share slowly") {
+  const double slow = ShareOfNewServer<StandardRequestRules>();
+  const double full = ShareOfNewServer<NoSlowStart>();
+  MESSAGE("share of a new server " << slow << ", without the rule " << full);
+  CHECK(slow <= 0.125);
+  CHECK(full > 0.125);
+}
+
+TEST_CASE("routing: calls spill to the next data centre before queues grow") {
+  RequestFleet test(PluginsWith<StandardRequestRules>,
+                    {1, 2, 4, {"nl-west-a", "nl-west-b"}});
+  for (uint32_t n = 2; n <= 3; ++n) test.fleet.Behaviours()[n].time = 20ms;
+  const uint64_t near = test.Get(1, "/proofs", 1'000);
+  test.fleet.Advance(100ms);
+  CHECK(test.IsWhole(near));
+  CHECK(test.fleet.RunsAt(3) == 0);
+  for (int i = 0; i < 8; ++i) test.Get(1, "/proofs", 1'000);
+  test.fleet.Advance(100ms);
+  CHECK(test.fleet.RunsAt(3) > 0);
+  CHECK(test.fleet.At(2).Counter("admission_queued_total") <= 2);
+}
+
+}  // namespace
+}  // namespace buckthorncart
--- a/Tests/Support/fake_fleet.cc
+++ b/Tests/Support/fake_fleet.cc
@@ -123,6 +123,7 @@
                  },
                  [&](CallPlatform& e) { CarryPlatform(from, e); },
                  [&](CallBackend& e) { CarryBackend(from, e); },
+                 [&](CancelBackend& e) { CarryCancel(from, e); },
                  [&](AnswerCaller& e) { CarryAnswer(e); },
                  [&](AnswerOperator& e) { answers_[e.request] = e.body; },
                  [](auto&) {},
@@ -148,9 +149,34 @@
   Later(kPlatformDelay, n, PlatformReplied{call.tag, std::move(reply)});
 }
 
+void FakeFleet::CarryCancel(const FakeDaemon& from,
+                            const CancelBackend& cancel) {
+  busy_until_[NumberOf(from.Self())].erase(cancel.run);
+  ++cancelled_;
+}
+
+bool FakeFleet::Sheds(uint32_t n, uint64_t run) {
+  const BackendBehaviour& behaviour = behaviours_[n];
+  auto& busy = busy_until_[n];
+  std::erase_if(busy, [this](const auto& it) { return it.second <= now_; });
+  if (behaviour.sheds) return true;
+  if (behaviour.slots == 0) return false;
+  if (busy.size() >= behaviour.slots) return true;
+  busy[run] = now_ + behaviour.time;
+  return false;
+}
+
 void FakeFleet::CarryBackend(FakeDaemon& from, const CallBackend& call) {
   const uint32_t n = NumberOf(from.Self());
   const BackendBehaviour& behaviour = behaviours_[n];
+  if (Sheds(n, call.run)) {
+    AnswerPart part;
+    part.status = 503;
+    part.headers = {{std::string(header::kOutcome), "not-run"}};
+    part.end = AnswerEnd::kComplete;
+    Later(1ms, n, BackendAnswered{call.run, part, BackendFault::kNone});
+    return;
+  }
   if (behaviour.fault != BackendFault::kNotConnected) {
     ++runs_[n];
     const std::string key(
@@ -158,6 +184,16 @@
     if (!key.empty()) ++runs_by_key_[key];
   }
   if (behaviour.never_answers) return;
+  Duration at{};
+  for (const AnswerPart& part : behaviour.parts) {
+    at += behaviour.time;
+    const bool broken = part.end == AnswerEnd::kBroken;
+    Later(at, n,
+          BackendAnswered{
+              call.run, part,
+              broken ? BackendFault::kConnectionBroken : BackendFault::kNone});
+  }
+  if (!behaviour.parts.empty()) return;
   AnswerPart part;
   if (behaviour.fault == BackendFault::kNone) {
     constexpr uint16_t kHttpOk = 200;
@@ -179,6 +215,7 @@
   }
   joined.body += answer.part.body;
   joined.end = answer.part.end;
+  answered_at_[answer.call] = now_;
 }
 
 std::optional<Time> FakeFleet::NextTime() const {
--- a/Tests/Support/fake_fleet.h
+++ b/Tests/Support/fake_fleet.h
@@ -31,6 +31,12 @@
   Duration time = 1ms;
   BackendFault fault = BackendFault::kNone;
   bool never_answers = false;
+  /// Requests that it runs at once; more are shed. 0 for no bound.
+  uint32_t slots = 0;
+  /// Sheds every request.
+  bool sheds = false;
+  /// Parts of the answer, `time` apart; empty for a short whole answer.
+  std::vector<AnswerPart> parts;
 };
 
 class FakeFleet {
@@ -88,6 +94,10 @@
   /// Requests that backend servers have begun to run, by idempotency key.
   std::map<std::string, uint32_t>& RunsByKey() { return runs_by_key_; }
   uint64_t RunsAt(uint32_t n) const;
+  /// Runs that daemons have cancelled at their backend servers.
+  uint64_t Cancelled() const { return cancelled_; }
+  /// When the last part of each answer reached its caller.
+  const std::map<uint64_t, Time>& AnsweredAt() const { return answered_at_; }
 
   MemoryTable& Table() { return table_; }
   void SetPlatformFault(PlatformFault fault) { platform_fault_ = fault; }
@@ -105,7 +115,9 @@
   void Carry(FakeDaemon& from, Effect effect);
   void CarryPlatform(FakeDaemon& from, const CallPlatform& call);
   void CarryBackend(FakeDaemon& from, const CallBackend& call);
+  void CarryCancel(const FakeDaemon& from, const CancelBackend& cancel);
   void CarryAnswer(const AnswerCaller& answer);
+  bool Sheds(uint32_t n, uint64_t run);
   void Later(Duration delay, uint32_t to, Event event);
   void DeliverNow(uint32_t to, const Event& event);
   void Step(Time until);
@@ -142,6 +154,9 @@
   std::map<uint32_t, std::string> announcements_;
   std::map<uint32_t, uint64_t> runs_;
   std::map<std::string, uint32_t> runs_by_key_;
+  std::map<uint32_t, std::map<uint64_t, Time>> busy_until_;
+  std::map<uint64_t, Time> answered_at_;
+  uint64_t cancelled_ = 0;
   uint64_t next_request_ = 0;
   uint64_t next_process_ = 0;
   Time next_announcement_{};
