Drain daemons without cutting a caller

Cause: at the exit the driver closed its sockets at once. Answers that callers had not read were cut, and connections that waited in the accept queue were reset. A daemon with callers that stay never came to rest within its 60 s and then cut what was in flight. Numbers of calls began at 1 in every process, so that a late answer to an earlier process could meet a new call.

The driver ignores new connections, accepts those that wait and stops when the callers have read their answers. Callers that stay are refused, not run, after 5 s. Numbers of calls start at the process's start time.

load_tool sends to another target what was certainly not run (--fail-over) and on SIGTERM waits for the answers that are due.

Ruled out: closing the listener first, which resets the same connections. What it costs: a caller that meets the closing listener waits 1 s for its second attempt to connect.

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -26,8 +26,12 @@
 }  // namespace
 
 HttpServer::HttpServer(Loop& loop, HttpServerLimits limits,
-                       HttpServerHandler& handler)
-    : loop_(loop), limits_(limits), handler_(handler), protocols_{} {
+                       HttpServerHandler& handler, uint64_t last_id)
+    : loop_(loop),
+      limits_(limits),
+      handler_(handler),
+      protocols_{},
+      next_id_(last_id) {
   protocols_[0] = {"http-server", Callback, 0, 0, 0, this, 0};
 }
 
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -40,7 +40,9 @@
 
 class HttpServer {
  public:
-  HttpServer(Loop& loop, HttpServerLimits limits, HttpServerHandler& handler);
+  /// Requests are numbered from `last_id` + 1.
+  HttpServer(Loop& loop, HttpServerLimits limits, HttpServerHandler& handler,
+             uint64_t last_id = 0);
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
@@ -53,6 +55,8 @@
   /// Cuts the connection of request `id`.
   void Cut(uint64_t id);
 
+  /// True when no request is being read or answered.
+  bool IsIdle() const { return sessions_.empty(); }
   /// Bytes of answers that wait to be written.
   size_t BufferedBytes(uint64_t id) const;
 
@@ -96,7 +100,7 @@
   lws_protocols protocols_[2];
   std::unordered_map<lws*, std::unique_ptr<Session>> sessions_;
   std::unordered_map<uint64_t, Session*> by_id_;
-  uint64_t next_id_ = 0;
+  uint64_t next_id_;
 };
 
 }  // namespace buckthorncart
--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -8,6 +8,19 @@
 #include "Wire/codec.h"
 
 namespace buckthorncart {
+namespace {
+
+/// Numbers of callers' requests start at the process's start time, shifted by
+/// so many bits, so that they are never used again by a later process.
+constexpr unsigned kCallsPerMillisecondBits = 20;
+/// Longest time in which callers can read the last answers before the exit.
+constexpr Duration kLongestLastWrite = 60s;
+constexpr Duration kIdleCheckInterval = 20ms;
+/// Connections accepted last have sent their requests by then.
+constexpr Duration kLastRequests = 200ms;
+constexpr int kFdSearchLimit = 65'536;
+
+}  // namespace
 
 class LoopDriver::ServerEvents : public HttpServerHandler {
  public:
@@ -64,7 +77,8 @@
             return OperatorRequested{id, std::move(request)};
           },
           [](uint64_t id) -> Event { return OperatorLeft{id}; })),
-      callers_(loop, settings.limits, *caller_events_),
+      callers_(loop, settings.limits, *caller_events_,
+               wall_ms << kCallsPerMillisecondBits),
       operators_(loop, settings.limits, *operator_events_),
       backend_(loop, [this](uint64_t run, AnswerPart part, BackendFault fault) {
         Dispatch(BackendAnswered{run, std::move(part), fault});
@@ -192,6 +206,25 @@
 
 void LoopDriver::Carry(const LogChange& effect) { log_.Write(effect); }
 
-void LoopDriver::Carry(const Exit& /*effect*/) { loop_.Stop(); }
+void LoopDriver::Carry(const Exit& /*effect*/) {
+  if (std::exchange(exiting_, true)) return;
+  const ListeningSocket listener(settings_.callers, kFdSearchLimit);
+  listener.IgnoreNewConnections();
+  const Time now = Loop::Now();
+  StopWhenIdle(listener, now + kLastRequests, now + kLongestLastWrite);
+}
+
+void LoopDriver::StopWhenIdle(ListeningSocket listener, Time earliest,
+                              Time latest) {
+  const Time now = Loop::Now();
+  const bool idle = callers_.IsIdle() && listener.IsDrained();
+  if (now >= latest || (idle && now >= earliest)) {
+    loop_.Stop();
+    return;
+  }
+  loop_.RunIn(kIdleCheckInterval, [this, listener, earliest, latest] {
+    StopWhenIdle(listener, earliest, latest);
+  });
+}
 
 }  // namespace buckthorncart
--- a/Source/Net/loop_driver.h
+++ b/Source/Net/loop_driver.h
@@ -17,6 +17,7 @@
 #include "Net/datagram_socket.h"
 #include "Net/http_client.h"
 #include "Net/http_server.h"
+#include "Net/listening_socket.h"
 #include "Net/log_sink.h"
 #include "Net/loop.h"
 #include "Net/peer_transport.h"
@@ -67,6 +68,7 @@
   void Carry(AnswerOperator effect);
   void Carry(const LogChange& effect);
   void Carry(const Exit& effect);
+  void StopWhenIdle(ListeningSocket listener, Time earliest, Time latest);
   void AddGauges();
 
   Loop& loop_;
@@ -85,6 +87,7 @@
   HttpClient backend_;
   std::deque<Event> pending_;
   bool dispatching_ = false;
+  bool exiting_ = false;
   uint64_t bad_frames_ = 0;
 };
 
--- a/Source/Plugins/drain.cc
+++ b/Source/Plugins/drain.cc
@@ -17,7 +17,7 @@
 /// when nothing has been in flight for so long.
 constexpr Duration kQuietBeforeExit = 1s;
 /// Callers that go on sending after so long are refused.
-constexpr Duration kCallersGrace = 10s;
+constexpr Duration kCallersGrace = 5s;
 /// Longest deadline of a request, after which nothing can be in flight.
 constexpr Duration kMaxDrain = 1h;
 
--- /dev/null
+++ b/Tests/EndToEnd/drain_test.cc
@@ -0,0 +1,166 @@
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "EndToEnd/process_fleet.h"
+
+namespace buckthorncart {
+namespace {
+
+constexpr uint32_t kDaemons = 4;
+constexpr uint32_t kSlots = 8;
+/// 80% of the slots of the three that stay: 0.8 * 3 * 8 / 20 ms.
+constexpr uint32_t kRatePerSecond = 960;
+
+struct RollingRestart {
+  RollingRestart() {
+    fleet.StartPlatform();
+    for (uint32_t n = 1; n <= kDaemons; ++n) fleet.StartDaemon(n, kDaemons);
+    for (uint32_t n = 1; n <= kDaemons; ++n) {
+      fleet.StartBackendServer(
+          n, "catalogus",
+          {"--slots", std::to_string(kSlots), "--time-us", "20000"});
+    }
+    REQUIRE(WaitFor([this] { return AllSeeAll(); }));
+    const auto answer = fleet.Post(fleet.Operators(1), "/v1/changes",
+                                   "create service catalogus\n"
+                                   "create route p path=/p service=catalogus");
+    REQUIRE(answer.status == 200);
+    REQUIRE(WaitFor([this] { return IsInForce(); }));
+  }
+  bool IsInForce() {
+    const auto answer = fleet.Get(fleet.Operators(1), "/v1/in-force?version=1");
+    if (answer.status != 200) return false;
+    return nlohmann::json::parse(answer.body)["in_force"] == kDaemons;
+  }
+  /// True when every daemon knows every backend server as ready.
+  bool AllSeeAll() {
+    for (uint32_t n = 1; n <= kDaemons; ++n) {
+      if (fleet.Get(fleet.Operators(n), "/ready").status != 200) return false;
+      const auto answer = fleet.Get(fleet.Operators(n), "/v1/daemons");
+      if (answer.status != 200) return false;
+      const auto body = nlohmann::json::parse(answer.body);
+      uint32_t ready = 0;
+      for (const auto& daemon : body["daemons"]) {
+        const bool alive = daemon["status"] == "alive";
+        if (alive && daemon["backend_server"] == "ready") ++ready;
+      }
+      if (ready != kDaemons) return false;
+    }
+    return true;
+  }
+  void StartLoad() {
+    std::string targets;
+    for (uint32_t n = 1; n <= kDaemons; ++n) {
+      targets += (n == 1 ? "" : ",") + fleet.Callers(n).ToString();
+    }
+    fleet.StartProgram(
+        "load", "load_tool",
+        {"--target", targets, "--path", "/p/1", "--rate",
+         std::to_string(kRatePerSecond), "--seconds", "110", "--fail-over"},
+        "drain-load.json");
+  }
+  nlohmann::json EndLoad() {
+    fleet.Signal("load", SIGTERM);
+    CHECK(fleet.WaitForExit("load", 20s) == 0);
+    std::ifstream in("drain-load.json");
+    return nlohmann::json::parse(in);
+  }
+  ProcessFleet fleet;
+};
+
+TEST_CASE("drain: a rolling restart of all daemons cuts and loses nothing") {
+  RollingRestart test;
+  test.StartLoad();
+  for (uint32_t n = 1; n <= kDaemons; ++n) {
+    const std::string name = "daemon-" + std::to_string(n);
+    test.fleet.Signal(name, SIGTERM);
+    CHECK(test.fleet.WaitForExit(name, 30s) == 0);
+    test.fleet.StartDaemon(n, kDaemons);
+    CHECK(WaitFor([&] { return test.AllSeeAll(); }));
+  }
+  const nlohmann::json report = test.EndLoad();
+  MESSAGE(report.dump());
+  CHECK(report["whole"] > 0);
+  CHECK(report["moved"] > 0);
+  CHECK(report["broken"] == 0);
+  CHECK(report["unknown"] == 0);
+  CHECK(report["not_run"] == 0);
+  CHECK(report["wrong"] == 0);
+}
+
+TEST_CASE("drain control: daemons that are killed cut requests") {
+  RollingRestart test;
+  test.StartLoad();
+  REQUIRE(WaitFor([&] {
+    const auto answer = test.fleet.Get(test.fleet.Operators(1), "/v1/metrics");
+    return answer.status != 0;
+  }));
+  REQUIRE(WaitFor([&] {
+    const auto log = test.fleet.Get(test.fleet.Backend(1), "/log");
+    return nlohmann::json::parse(log.body)["runs"] > 100;
+  }));
+  for (uint32_t n = 1; n <= kDaemons; ++n) {
+    test.fleet.Signal("daemon-" + std::to_string(n), SIGKILL);
+  }
+  const nlohmann::json report = test.EndLoad();
+  MESSAGE(report.dump());
+  CHECK(report["broken"] > 0);
+}
+
+/// A caller that reads its answer when it is told to.
+class SlowReader {
+ public:
+  SlowReader(Address to, const std::string& path)
+      : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(to.ip);
+    name.sin_port = htons(to.port);
+    REQUIRE(connect(fd_, reinterpret_cast<sockaddr*>(&name), sizeof(name)) ==
+            0);
+    const std::string request = "GET " + path +
+                                " HTTP/1.1\r\nHost: " + to.ToString() +
+                                "\r\nConnection: close\r\n\r\n";
+    REQUIRE(write(fd_, request.data(), request.size()) > 0);
+  }
+  ~SlowReader() { close(fd_); }
+  SlowReader(const SlowReader&) = delete;
+  SlowReader& operator=(const SlowReader&) = delete;
+
+  /// Reads up to `limit` bytes; returns how many came before the end.
+  size_t Read(size_t limit) {
+    std::vector<char> buf(64 << 10U);
+    size_t sum = 0;
+    while (sum < limit) {
+      const ssize_t n =
+          read(fd_, buf.data(), std::min(buf.size(), limit - sum));
+      if (n <= 0) break;
+      sum += static_cast<size_t>(n);
+    }
+    return sum;
+  }
+
+ private:
+  int fd_;
+};
+
+TEST_CASE("drain: a caller that reads slowly gets its whole answer") {
+  constexpr size_t kBytes = 8'000'000;
+  RollingRestart test;
+  SlowReader reader(test.fleet.Callers(1), "/p/1?size=8000000");
+  REQUIRE(reader.Read(100) == 100);
+  test.fleet.Signal("daemon-1", SIGTERM);
+  // It would end after a second without requests in flight.
+  CHECK(test.fleet.WaitForExit("daemon-1", 3s) == -1);
+  CHECK(reader.Read(2 * kBytes) >= kBytes - 100);
+  CHECK(test.fleet.WaitForExit("daemon-1", 20s) == 0);
+}
+
+}  // namespace
+}  // namespace buckthorncart
--- a/Utilities/LoadTool/load_generator.cc
+++ b/Utilities/LoadTool/load_generator.cc
@@ -8,6 +8,8 @@
 
 constexpr Duration kSendInterval = 1ms;
 constexpr Duration kLastAnswers = 10s;
+/// A target that could not be reached or drains is left alone for so long.
+constexpr Duration kAvoidance = 200ms;
 
 }  // namespace
 
@@ -49,13 +51,29 @@
   loop_.RunIn(kSendInterval, [this] { SendDue(); });
 }
 
+void LoadGenerator::EndSending() {
+  settings_.duration = std::min(settings_.duration, Loop::Now() - started_);
+}
+
 void LoadGenerator::SendOne() {
   if (pending_.size() >= settings_.max_in_flight) {
     ++report_.withheld;
     return;
   }
   const uint64_t id = ++next_id_;
-  pending_[id].sent = Loop::Now();
+  Pending& pending = pending_[id];
+  pending.sent = Loop::Now();
+  pending.target = id % settings_.targets.size();
+  Attempt(id, pending);
+}
+
+void LoadGenerator::Attempt(uint64_t id, Pending& pending) {
+  const size_t n = settings_.targets.size();
+  for (size_t i = 0; i < n; ++i) {
+    if (Loop::Now() >= avoided_until_[pending.target]) break;
+    pending.target = (pending.target + 1) % n;
+  }
+  ++pending.attempts;
   HttpRequest request;
   request.method = settings_.method;
   request.path = settings_.path;
@@ -69,8 +87,17 @@
     request.headers.push_back({std::string(header::kIdempotencyKey),
                                settings_.key_prefix + std::to_string(id)});
   }
-  client_.Send(id, settings_.targets[id % settings_.targets.size()],
-               std::move(request));
+  client_.Send(id, settings_.targets[pending.target], std::move(request));
+}
+
+/// True for a request that was not run and may be sent to another target.
+bool LoadGenerator::MayMove(const Pending& pending, BackendFault fault) const {
+  if (!settings_.fail_over) return false;
+  if (pending.attempts > settings_.targets.size()) return false;
+  if (fault == BackendFault::kNotConnected) return true;
+  return fault == BackendFault::kNone &&
+         pending.reason == NameOf(Errc::kDraining) &&
+         pending.outcome == NameOf(Outcome::kNotRun);
 }
 
 void LoadGenerator::OnPart(uint64_t id, const AnswerPart& part,
@@ -85,8 +112,23 @@
   }
   pending.bytes += part.body.size();
   if (part.end == AnswerEnd::kMore) return;
-  Classify(pending, fault);
-  pending_.erase(it);
+  if (!MayMove(pending, fault)) {
+    Classify(pending, fault);
+    pending_.erase(it);
+    return;
+  }
+  ++report_.moved;
+  avoided_until_[pending.target] = Loop::Now() + kAvoidance;
+  Pending next;
+  next.sent = pending.sent;
+  next.target = pending.target;
+  next.attempts = pending.attempts;
+  pending = next;
+  // The client is not called from within its own handler.
+  loop_.RunIn(Duration(1), [this, id] {
+    const auto moved = pending_.find(id);
+    if (moved != pending_.end()) Attempt(id, moved->second);
+  });
 }
 
 void LoadGenerator::Classify(const Pending& pending, BackendFault fault) {
--- a/Utilities/LoadTool/load_generator.h
+++ b/Utilities/LoadTool/load_generator.h
@@ -27,6 +27,9 @@
   uint32_t deadline_ms = 0;
   /// Gives each request an idempotency key with this prefix.
   std::string key_prefix;
+  /// Sends a request to the next target when it was certainly not run, and
+  /// leaves a target alone for a time when it closes its connections.
+  bool fail_over = false;
 };
 
 /// What the load met. A request counts in exactly one of the first four.
@@ -40,6 +43,8 @@
   uint64_t wrong = 0;
   /// Not sent because too many were in flight.
   uint64_t withheld = 0;
+  /// Attempts at another target after one that did not run the request.
+  uint64_t moved = 0;
   std::map<std::string, uint64_t> reasons;
   std::vector<int64_t> latencies_us;
 
@@ -53,6 +58,8 @@
  public:
   LoadGenerator(Loop& loop, const LoadSettings& settings);
   Result<void> Start();
+  /// Sends no more and waits for the answers that are due.
+  void EndSending();
   LoadReport& Report() { return report_; }
 
  private:
@@ -62,9 +69,13 @@
     uint64_t bytes = 0;
     std::string outcome;
     std::string reason;
+    size_t target = 0;
+    uint32_t attempts = 0;
   };
   void SendDue();
   void SendOne();
+  void Attempt(uint64_t id, Pending& pending);
+  bool MayMove(const Pending& pending, BackendFault fault) const;
   void OnPart(uint64_t id, const AnswerPart& part, BackendFault fault);
   void Classify(const Pending& pending, BackendFault fault);
 
@@ -73,6 +84,7 @@
   HttpClient client_;
   LoadReport report_;
   std::map<uint64_t, Pending> pending_;
+  std::map<size_t, Time> avoided_until_;
   Time started_{};
   uint64_t next_id_ = 0;
   uint64_t due_ = 0;
--- a/Utilities/LoadTool/main.cc
+++ b/Utilities/LoadTool/main.cc
@@ -23,6 +23,7 @@
           {"broken", report.broken},
           {"wrong", report.wrong},
           {"withheld", report.withheld},
+          {"moved", report.moved},
           {"reasons", report.reasons},
           {"p50_us", report.LatencyAt(0.50)},
           {"p99_us", report.LatencyAt(0.99)},
@@ -52,6 +53,8 @@
   app.add_option("--deadline-ms", settings.deadline_ms, "deadline, ms");
   app.add_option("--key-prefix", settings.key_prefix,
                  "prefix of idempotency keys");
+  app.add_flag("--fail-over", settings.fail_over,
+               "send to another target what was not run");
   CLI11_PARSE(app, argc, argv);
   for (const std::string& text : targets) {
     const auto address = Address::Parse(text);
@@ -72,7 +75,7 @@
     std::cerr << started.error().Describe() << '\n';
     return 1;
   }
-  loop.OnShutdownSignal([&loop] { loop.Stop(); });
+  loop.OnShutdownSignal([&generator] { generator.EndSending(); });
   loop.Run();
   std::cout << ToJson(generator.Report()).dump() << '\n';
   return 0;
