Bound the memory of answers that callers do not read

Cause: the whole answer of a backend server is taken from the peer and kept until its caller reads it. 48 callers with 8 MB each that did not read took the receiving daemon to 260 MB.

The answers that wait to be read are bounded in all (--answer-buffer-limit, 96 MB). Beyond it the answer of which most waits is cut, visibly, so that callers that read are not touched.

Weighed: credits for each call, which also keep the bytes out of the daemons but need a window in every layer between backend server and caller; refusing new calls while the buffers are full, which punishes those that read.

--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -64,6 +64,7 @@
   DaemonSettings settings_;
   uint32_t fd_limit_ = 4'096;
   uint32_t body_limit_ = 1U << 20U;
+  uint32_t answer_buffer_limit_ = 96U << 20U;
   uint32_t connection_limit_ = 2'048;
 };
 
@@ -156,6 +157,8 @@
             "time until a new backend server takes a full share, ms");
   AddNumber("--body-limit", body_limit_, 0, 64U << 20U,
             "largest request body, bytes");
+  AddNumber("--answer-buffer-limit", answer_buffer_limit_, 1U << 20U, ~0U,
+            "answers that callers have not read, bytes in all");
   AddNumber("--connection-limit", connection_limit_, 1, 65'536,
             "connections of callers");
 }
@@ -234,6 +237,7 @@
   }
   settings_.fd_limit = static_cast<int>(fd_limit_);
   settings_.driver.limits.body_bytes = body_limit_;
+  settings_.driver.limits.buffered_bytes = answer_buffer_limit_;
   settings_.driver.limits.connections = connection_limit_;
   settings_.kernel.seed = std::random_device{}();
   Result<void> named =
--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -102,6 +102,7 @@
       [this] { return peers_.ControlSentBytes() + datagrams_.SentBytes(); });
   add("datagram_sent_bytes", [this] { return datagrams_.SentBytes(); });
   add("datagram_received_bytes", [this] { return datagrams_.ReceivedBytes(); });
+  add("answers_cut_unread", [this] { return callers_.CutAnswers(); });
   add("bad_frames", [this] { return bad_frames_; });
 }
 
--- a/Tests/EndToEnd/process_fleet.cc
+++ b/Tests/EndToEnd/process_fleet.cc
@@ -87,8 +87,8 @@
   WaitFor([this] { return Get(Platform(), "/statistics").status != 0; });
 }
 
-void ProcessFleet::StartDaemon(uint32_t n, uint32_t size,
-                               const std::vector<std::string>& flags) {
+pid_t ProcessFleet::StartDaemon(uint32_t n, uint32_t size,
+                                const std::vector<std::string>& flags) {
   constexpr uint32_t kDataCentres = 3;
   std::string peers;
   for (uint32_t i = 1; i <= size; ++i) {
@@ -104,7 +104,8 @@
       "--peer",           peers,
       "--platform",       "http://" + Platform().ToString()};
   arguments.insert(arguments.end(), flags.begin(), flags.end());
-  StartProgram("daemon-" + std::to_string(n), "buckthorncartd", arguments);
+  return StartProgram("daemon-" + std::to_string(n), "buckthorncartd",
+                      arguments);
 }
 
 void ProcessFleet::StartBackendServer(uint32_t n, const std::string& service,
--- a/Tests/EndToEnd/process_fleet.h
+++ b/Tests/EndToEnd/process_fleet.h
@@ -34,8 +34,8 @@
 
   void StartPlatform();
   /// Starts daemon `n` of `size` in data centre nl-west-a, -b, … by turns.
-  void StartDaemon(uint32_t n, uint32_t size,
-                   const std::vector<std::string>& flags = {});
+  pid_t StartDaemon(uint32_t n, uint32_t size,
+                    const std::vector<std::string>& flags = {});
   void StartBackendServer(uint32_t n, const std::string& service,
                           const std::vector<std::string>& flags = {});
   /// Sends a signal to "daemon-N", "backend-N" or "platform".
