--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -36,6 +36,7 @@
   std::string platform = "memory:";
   std::string profile = "balanced";
   std::string spreading = "mixed";
+  std::string choice = "two-random";
   std::string log_format = "text";
   std::string log_level = "info";
 };
@@ -66,6 +67,7 @@
   DaemonSettings settings_;
   uint32_t fd_limit_ = 2'048;
   uint32_t body_limit_ = 1U << 20U;
+  uint32_t answer_buffer_limit_ = 96U << 20U;
   uint32_t connection_limit_ = 2'048;
 };
 
@@ -149,6 +151,9 @@
 
 void SettingsParser::AddRequests() {
   KernelSettings& kernel = settings_.kernel;
+  AddText("--choice", raw_.choice,
+          "way of choosing the backend server: " + NamesOf<ChoicePolicy>(),
+          false);
   AddNumber("--queue-limit", kernel.queue_limit, 0, 100'000,
             "requests that wait for a slot of the backend server");
   AddNumber("--max-attempts", kernel.max_attempts, 1, 16,
@@ -159,6 +164,8 @@
             "time until a new backend server takes a full share, ms");
   AddNumber("--body-limit", body_limit_, 0, 64U << 20U,
             "largest request body, bytes");
+  AddNumber("--answer-buffer-limit", answer_buffer_limit_, 1U << 20U, ~0U,
+            "answers that callers have not read, bytes in all");
   AddNumber("--connection-limit", connection_limit_, 1, 65'536,
             "connections of callers");
 }
@@ -237,9 +244,13 @@
   }
   settings_.fd_limit = static_cast<int>(fd_limit_);
   settings_.driver.limits.body_bytes = body_limit_;
+  settings_.driver.limits.buffered_bytes = answer_buffer_limit_;
   settings_.driver.limits.connections = connection_limit_;
   settings_.kernel.seed = std::random_device{}();
   Result<void> named = ResolveSpreading();
+  if (named) {
+    named = ParseName("--choice", raw_.choice, settings_.kernel.choice);
+  }
   if (named) {
     named = ParseName("--log-format", raw_.log_format, settings_.log_format);
   }
