Claim unrepeatable requests in the platform's table before they run

Cause: admission refused every unrepeatable call with claim-undecided. The admitting daemon now inserts claim/SERVICE/KEY by a conditional transaction before the call waits for a slot, and records its outcome, with an answer of up to 16 KB, in the same row.

Ruled out: a claim when the slot is free (a slot would stand idle for a write to the platform, and duplicates that wait for the claimant would hold slots); a lease after which others take the claim over (nothing tells a frozen claimant from a dead one, so only the claimant's promise counts).

--- a/Source/Base/error.h
+++ b/Source/Base/error.h
@@ -62,6 +62,9 @@
   kMethodNotAllowed,
   kTimeout,
   kDaemonUnreachable,
+  kInvalidIdempotencyKey,
+  kIdempotencyKeyReused,
+  kAnswerNotKept,
 };
 
 template <>
@@ -111,6 +114,9 @@
       "method-not-allowed",
       "timeout",
       "daemon-unreachable",
+      "invalid-idempotency-key",
+      "idempotency-key-reused",
+      "answer-not-kept",
   };
 };
 
--- /dev/null
+++ b/Source/Kernel/claim_events.h
@@ -0,0 +1,51 @@
+#pragma once
+/// \file
+/// Events between admission, claims and the crash guard; never recorded.
+
+#include <cstdint>
+#include <msgpack.hpp>
+
+#include "Base/address.h"
+#include "Base/error.h"
+#include "Wire/claim_messages.h"
+#include "Wire/peer_messages.h"
+
+namespace buckthorncart {
+
+/// An unrepeatable call has been admitted and must be claimed before it runs.
+struct ClaimWanted {
+  uint64_t run = 0;
+  Address from;
+  Call call;
+  MSGPACK_DEFINE(run, from, call)
+};
+
+/// The claim is held: the run may start.
+struct ClaimGranted {
+  uint64_t run = 0;
+  MSGPACK_DEFINE(run)
+};
+
+/// The run must not start; `result` tells what its caller is told, `reason`
+/// why when there is no answer.
+struct ClaimDenied {
+  uint64_t run = 0;
+  Errc reason = Errc::kOk;
+  ClaimResult result;
+  MSGPACK_DEFINE(run, reason, result)
+};
+
+/// A run whose claim was granted has been dropped before it started.
+struct ClaimUnused {
+  uint64_t run = 0;
+  MSGPACK_DEFINE(run)
+};
+
+/// A run has ended: `broken` when its connection broke in the run.
+struct RunEnded {
+  uint64_t fingerprint = 0;
+  bool broken = false;
+  MSGPACK_DEFINE(fingerprint, broken)
+};
+
+}  // namespace buckthorncart
--- a/Source/Kernel/directory.h
+++ b/Source/Kernel/directory.h
@@ -8,12 +8,14 @@
 #include <memory>
 
 #include "Base/address.h"
+#include "Base/time.h"
 #include "Config/change.h"
 #include "Config/snapshot.h"
 #include "Wire/member.h"
 
 namespace buckthorncart {
 
+class CrashRegister;
 class PlatformQueue;
 
 /// Each field is written by the one plug-in named beside it and read by all.
@@ -36,6 +38,11 @@
   uint32_t active_runs = 0;
   /// Requests of callers without a complete answer (receiving).
   uint32_t active_calls = 0;
+  /// Last use of the connection to a peer for calls (receiving, admission,
+  /// claims).
+  std::map<Address, Time> peers_used;
+  /// Fingerprints whose runs have killed backend servers (crash guard).
+  const CrashRegister* crashes = nullptr;
   /// Wall-clock time of the start, milliseconds since the epoch (kernel).
   uint64_t started_wall_ms = 0;
 };
--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -8,6 +8,7 @@
 
 #include "Base/address.h"
 #include "Base/time.h"
+#include "Kernel/claim_events.h"
 #include "Platform/platform_messages.h"
 #include "Wire/datagrams.h"
 #include "Wire/http.h"
@@ -176,7 +177,8 @@
                  DatagramReceived, PlatformReplied, CallerRequested, CallerLeft,
                  BackendAnswered, OperatorRequested, OperatorLeft,
                  ShutdownRequested, ConfigurationAdopted, HeadObserved,
-                 MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted>;
+                 MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted,
+                 ClaimWanted, ClaimGranted, ClaimDenied, ClaimUnused, RunEnded>;
 
 }  // namespace buckthorncart
 
--- a/Source/Net/peer_transport.cc
+++ b/Source/Net/peer_transport.cc
@@ -21,7 +21,10 @@
          !std::holds_alternative<CallAnswer>(message) &&
          !std::holds_alternative<CallRefused>(message) &&
          !std::holds_alternative<CallFailed>(message) &&
-         !std::holds_alternative<CancelCall>(message);
+         !std::holds_alternative<CancelCall>(message) &&
+         !std::holds_alternative<ClaimQuery>(message) &&
+         !std::holds_alternative<ClaimReport>(message) &&
+         !std::holds_alternative<OutcomeQuery>(message);
 }
 
 void DisableNagle(lws* wsi) {
--- a/Source/Plugins/admission.cc
+++ b/Source/Plugins/admission.cc
@@ -7,6 +7,7 @@
 #include "Config/value_parsers.h"
 #include "Kernel/context.h"
 #include "Kernel/plugin_registry.h"
+#include "Plugins/claim_reply.h"
 
 namespace buckthorncart {
 namespace {
@@ -81,6 +82,10 @@
     HandleAnswer(ctx, *answered);
   } else if (const auto* lost = std::get_if<PeerConnectionLost>(&event)) {
     HandlePeerLost(ctx, lost->peer);
+  } else if (const auto* granted = std::get_if<ClaimGranted>(&event)) {
+    StartOrQueue(ctx, granted->run);
+  } else if (const auto* denied = std::get_if<ClaimDenied>(&event)) {
+    HandleClaimDenied(ctx, *denied);
   } else if (const auto* timer = std::get_if<TimerFired>(&event)) {
     if (timer->kind == TimerKind::kQueueDeadline) {
       HandleDeadline(ctx, timer->argument);
@@ -132,8 +137,6 @@
   if (backend_.state != BackendState::kReady) return Errc::kNotReady;
   if (backend_.service != call.service) return Errc::kNoBackendServer;
   if (call.remaining_ms == 0) return Errc::kDeadlineExpired;
-  // Unrepeatable calls need a claim, which this daemon cannot take yet.
-  if (!call.repeatable) return Errc::kClaimUndecided;
   const bool free_slot = slots_in_use_ < backend_.slots;
   if (!free_slot && QueueLength() >= ctx.Settings().queue_limit) {
     return Errc::kOverloaded;
@@ -144,6 +147,7 @@
 void Admission::HandleCall(Context& ctx, Address from, const Call& call) {
   const CallKey key{from, call.id};
   if (run_of_call_.contains(key)) return;
+  ctx.Shared().peers_used[from] = ctx.Now();
   const Errc reason = ReasonToRefuse(ctx, call);
   if (reason != Errc::kOk) {
     Refuse(ctx, key, reason);
@@ -151,16 +155,36 @@
   }
   const uint64_t number = ++next_run_;
   const Duration remaining = std::chrono::milliseconds(call.remaining_ms);
-  runs_[number] = {key, call, ctx.Now() + remaining, false, false};
+  runs_[number] = {key,   call,  ctx.Now() + remaining,
+                   false, false, !call.repeatable};
   run_of_call_[key] = number;
   ctx.Shared().active_runs = static_cast<uint32_t>(runs_.size());
   ctx.SetTimerIn(remaining, TimerKind::kQueueDeadline, number);
+  if (!call.repeatable) {
+    ctx.Raise(ClaimWanted{number, from, call});
+    return;
+  }
+  StartOrQueue(ctx, number);
+}
+
+void Admission::HandleClaimDenied(Context& ctx, const ClaimDenied& denied) {
+  const auto it = runs_.find(denied.run);
+  if (it == runs_.end()) return;
+  const auto [peer, id] = it->second.key;
+  EndRun(ctx, denied.run);
+  ctx.Send(peer, MakeClaimReply(id, denied.reason, denied.result));
+}
+
+void Admission::StartOrQueue(Context& ctx, uint64_t number) {
+  const auto it = runs_.find(number);
+  if (it == runs_.end()) return;
+  it->second.awaiting_claim = false;
   if (slots_in_use_ < backend_.slots && QueueLength() == 0) {
     StartRun(ctx, number);
     return;
   }
   counters_.Add(AdmissionCounter::kQueued);
-  queues_[static_cast<size_t>(call.request_class)].push_back(number);
+  queues_[static_cast<size_t>(it->second.call.request_class)].push_back(number);
 }
 
 void Admission::StartQueued(Context& ctx) {
@@ -236,6 +260,7 @@
 void Admission::HandleDeadline(Context& ctx, uint64_t number) {
   const auto it = runs_.find(number);
   if (it == runs_.end() || it->second.started) return;
+  if (it->second.awaiting_claim) return;
   counters_.Add(AdmissionCounter::kExpiredInQueue);
   const CallKey key = it->second.key;
   EndRun(ctx, number);
@@ -246,6 +271,9 @@
   const auto it = runs_.find(number);
   if (it->second.started) --slots_in_use_;
   if (!it->second.started) {
+    const bool claimed =
+        !it->second.call.repeatable && !it->second.awaiting_claim;
+    if (claimed) ctx.Raise(ClaimUnused{number});
     for (auto& queue : queues_) std::erase(queue, number);
   }
   run_of_call_.erase(it->second.key);
--- a/Source/Plugins/admission.h
+++ b/Source/Plugins/admission.h
@@ -13,6 +13,7 @@
 #include "Base/address.h"
 #include "Base/error.h"
 #include "Base/time.h"
+#include "Kernel/claim_events.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
 #include "Wire/member.h"
@@ -56,6 +57,8 @@
     Time deadline{};
     bool started = false;
     bool head_sent = false;
+    /// Unrepeatable, and its claim has not been decided.
+    bool awaiting_claim = false;
   };
   static constexpr size_t kClasses = 2;
 
@@ -67,6 +70,9 @@
   void HandleAnnouncement(Context& ctx, const OperatorRequested& request);
   void SetBackend(Context& ctx, BackendAnnouncement backend);
   Errc ReasonToRefuse(Context& ctx, const Call& call) const;
+  void HandleClaimDenied(Context& ctx, const ClaimDenied& denied);
+  /// Starts the run or queues it for a slot.
+  void StartOrQueue(Context& ctx, uint64_t number);
   void StartQueued(Context& ctx);
   void StartRun(Context& ctx, uint64_t number);
   void EndRun(Context& ctx, uint64_t number);
--- a/Source/Plugins/call_failure.cc
+++ b/Source/Plugins/call_failure.cc
@@ -10,6 +10,7 @@
     case Errc::kUnknownRoute:
       return 404;
     case Errc::kMissingIdempotencyKey:
+    case Errc::kInvalidIdempotencyKey:
     case Errc::kInvalidDeadline:
     case Errc::kMalformedFrame:
       return 400;
@@ -17,6 +18,8 @@
       return 405;
     case Errc::kBodyTooLarge:
       return 413;
+    case Errc::kIdempotencyKeyReused:
+      return 422;
     case Errc::kDeadlineExpired:
       return 504;
     default:
--- /dev/null
+++ b/Source/Plugins/claim_reply.cc
@@ -0,0 +1,42 @@
+#include "Plugins/claim_reply.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace buckthorncart {
+namespace {
+
+/// Answer to a request that has run and whose own answer was too large to
+/// keep. The receiving daemon adds the outcome "ran".
+AnswerPart MakeAnswerNotKept() {
+  constexpr uint16_t kGoneStatus = 410;
+  const std::string name(NameOf(Errc::kAnswerNotKept));
+  const nlohmann::ordered_json body = {{"error", name},
+                                       {"outcome", NameOf(Outcome::kRan)}};
+  AnswerPart part;
+  part.status = kGoneStatus;
+  part.headers = {{"content-type", "application/json"},
+                  {std::string(header::kReason), name}};
+  part.body = body.dump() + "\n";
+  part.end = AnswerEnd::kComplete;
+  return part;
+}
+
+}  // namespace
+
+PeerMessage MakeClaimReply(uint64_t id, Errc reason,
+                           const ClaimResult& result) {
+  switch (result.outcome) {
+    case ClaimOutcome::kNeverRan:
+      return CallRefused{id, reason};
+    case ClaimOutcome::kRan:
+      return CallAnswer{
+          id, result.answer_kept ? result.answer : MakeAnswerNotKept(), 0};
+    case ClaimOutcome::kRunning:
+    case ClaimOutcome::kUnknown:
+      break;
+  }
+  return CallFailed{id, reason};
+}
+
+}  // namespace buckthorncart
--- a/Source/Plugins/receiving.h
+++ b/Source/Plugins/receiving.h
@@ -67,6 +67,9 @@
     Address admitting;
     std::set<Address> tried;
     bool head_sent = false;
+    /// Incarnation of the admitting daemon.
+    uint64_t incarnation = 0;
+    uint32_t outcome_queries = 0;
   };
   /// What is known of a peer's backend server.
   struct PeerLoad {
@@ -85,6 +88,9 @@
   void HandleCallerLeft(Context& ctx, uint64_t call);
   void HandleDeadline(Context& ctx, uint64_t call);
 
+  /// Asks the admitting daemon what became of an unrepeatable call; false
+  /// when that is pointless.
+  bool QueryOutcome(Context& ctx, Active& active);
   void Attempt(Context& ctx, Active& active);
   void RetryOrAnswer(Context& ctx, Active& active, Errc reason,
                      Outcome outcome);
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -8,12 +8,15 @@
 
 #include "Base/digest.h"
 #include "Plugins/call_failure.h"
+#include "Plugins/claim_row.h"
 #include "Plugins/receiving.h"
 
 namespace buckthorncart {
 
 /// Longest deadline that a caller may give, milliseconds.
 inline constexpr uint32_t kMaxDeadlineMs = 3'600'000;
+/// Times that the outcome of one attempt is asked for.
+inline constexpr uint32_t kMaxOutcomeQueries = 2;
 
 template <BackendChoice Choice>
 Receiving<Choice>::Receiving(const KernelSettings& settings)
@@ -66,6 +69,10 @@
     AnswerFailure(ctx, call, Errc::kMissingIdempotencyKey, Outcome::kNotRun);
     return;
   }
+  if (!key.empty() && !IsIdempotencyKey(key)) {
+    AnswerFailure(ctx, call, Errc::kInvalidIdempotencyKey, Outcome::kNotRun);
+    return;
+  }
   uint32_t deadline_ms = route->timeout_ms;
   const std::string_view text = FindHeader(request.headers, header::kDeadline);
   if (!text.empty()) {
@@ -107,6 +114,12 @@
   active.admitting = chosen.daemon;
   active.tried.insert(chosen.daemon);
   ++active.attempts;
+  active.outcome_queries = 0;
+  const auto member = ctx.Shared().members.find(chosen.daemon);
+  if (member != ctx.Shared().members.end()) {
+    active.incarnation = member->second.incarnation;
+  }
+  ctx.Shared().peers_used[chosen.daemon] = ctx.Now();
   ++loads_[chosen.daemon].in_flight;
   counters_.Add(ReceivingCounter::kAttempts);
   const auto remaining = ToMilliseconds(active.deadline - ctx.Now());
@@ -205,7 +218,8 @@
 void Receiving<Choice>::RetryOrAnswer(Context& ctx, Active& active, Errc reason,
                                       Outcome outcome) {
   const bool may_run_again =
-      outcome == Outcome::kNotRun || active.route.repeatable;
+      (outcome == Outcome::kNotRun || active.route.repeatable) &&
+      !IsFinalRefusal(reason);
   const bool attempts_left = active.attempts < ctx.Settings().max_attempts &&
                              ctx.Now() < active.deadline;
   active.admitting = {};
@@ -224,6 +238,8 @@
                                      const CallAnswer& answer) {
   Active* active = FindFrom(from, answer.id);
   if (active == nullptr) return;
+  // The first parts were lost with a connection; the whole answer follows.
+  if (!active->head_sent && !answer.part.IsHead()) return;
   PeerLoad& load = loads_[from];
   load.load_per_mille = answer.load;
   load.at = ctx.Now();
@@ -261,6 +277,7 @@
   if (!calls.empty()) NoteFailure(ctx, peer);
   for (const uint64_t call : calls) {
     Active& active = active_.at(call);
+    if (QueryOutcome(ctx, active)) continue;
     ReleasePeer(active);
     if (!active.head_sent) {
       RetryOrAnswer(ctx, active, Errc::kConnectionLost, Outcome::kUnknown);
@@ -274,6 +291,18 @@
   }
 }
 
+template <BackendChoice Choice>
+bool Receiving<Choice>::QueryOutcome(Context& ctx, Active& active) {
+  if (active.route.repeatable || active.head_sent) return false;
+  if (active.outcome_queries >= kMaxOutcomeQueries) return false;
+  ++active.outcome_queries;
+  ctx.Shared().peers_used[active.admitting] = ctx.Now();
+  ctx.Send(active.admitting,
+           OutcomeQuery{active.call, active.route.service,
+                        active.idempotency_key, active.incarnation});
+  return true;
+}
+
 template <BackendChoice Choice>
 void Receiving<Choice>::HandleCallerLeft(Context& ctx, uint64_t call) {
   const auto it = active_.find(call);
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -12,6 +12,7 @@
 #include "Base/error.h"
 #include "Config/change.h"
 #include "Config/snapshot.h"
+#include "Wire/claim_messages.h"
 #include "Wire/http.h"
 #include "Wire/member.h"
 
@@ -163,7 +164,8 @@
     std::variant<Hello, Ping, Pong, PullChanges, PushChanges, PushSnapshot,
                  SnapshotBusy, VersionHeld, FloorQuery, FloorReport,
                  PullMembers, PushMembers, Call, CallRefused, CallAnswer,
-                 CallFailed, CancelCall, OperatorQuery, OperatorReply>;
+                 CallFailed, CancelCall, OperatorQuery, OperatorReply,
+                 ClaimQuery, ClaimReport, OutcomeQuery, CrashReport>;
 
 }  // namespace buckthorncart
 
--- /dev/null
+++ b/Tests/Requests/claims_test.cc
@@ -0,0 +1,285 @@
+#include "Plugins/claims.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Plugins/claim_sweep.h"
+#include "Requests/order_fleet.h"
+
+namespace buckthorncart {
+namespace {
+
+struct InsertAlways : StandardClaimRules {
+  static constexpr bool kInsertOnlyIfAbsent = false;
+};
+struct TrustLostAnswers : StandardClaimRules {
+  static constexpr bool kSettleLostAnswers = false;
+};
+struct TakeOverUnasked : StandardClaimRules {
+  static constexpr bool kTakeOverOnlyByPromise = false;
+};
+struct IgnoreDeadline : StandardClaimRules {
+  static constexpr bool kCheckDeadline = false;
+};
+struct NoShortCircuit : StandardClaimRules {
+  static constexpr bool kShortCircuit = false;
+};
+struct IgnoreRequest : StandardClaimRules {
+  static constexpr bool kCompareRequests = false;
+};
+
+/// Five daemons whose claims follow `Rules`.
+template <ClaimRules Rules = StandardClaimRules>
+OrderFleet MakeFleet() {
+  return OrderFleet(ReplacePlugin<Claims<StandardClaimRules>, Claims<Rules>>);
+}
+
+template <ClaimRules Rules>
+uint32_t RunsOfTenAtOnce() {
+  OrderFleet test = MakeFleet<Rules>();
+  std::vector<uint64_t> calls;
+  for (uint32_t i = 0; i < 10; ++i) {
+    calls.push_back(test.Order(1 + i % kOrderDaemons, "k"));
+  }
+  test.fleet.Advance(5s);
+  for (const uint64_t call : calls) CHECK(test.OutcomeOf(call) == "ran");
+  return test.RunsOf("k");
+}
+
+TEST_CASE("claims: ten of one key at once run once and get one answer") {
+  CHECK(RunsOfTenAtOnce<StandardClaimRules>() == 1);
+  CHECK(RunsOfTenAtOnce<InsertAlways>() > 1);
+}
+
+TEST_CASE("claims: the answer is recorded and given again") {
+  OrderFleet test = MakeFleet();
+  const uint64_t first = test.Order(1, "k");
+  test.fleet.Advance(1s);
+  const uint64_t again = test.Order(2, "k");
+  test.fleet.Advance(1s);
+  CHECK(test.OutcomeOf(again) == "ran");
+  CHECK(test.BodyOf(first) == test.BodyOf(again));
+  CHECK(test.RunsOf("k") == 1);
+}
+
+/// The answer to the first claim is lost, with the row written or not; the
+/// caller sends again at once through another daemon.
+template <ClaimRules Rules>
+uint32_t RunsAfterLostAnswer(PlatformFault fault) {
+  OrderFleet test = MakeFleet<Rules>();
+  test.fleet.SetPlatformFault(fault);
+  test.Order(1, "k");
+  test.fleet.Advance(4ms);
+  test.fleet.SetPlatformFault(PlatformFault::kNone);
+  const uint64_t again = test.Order(2, "k");
+  test.fleet.Advance(10s);
+  CHECK(test.EveryNotRunIsTrue());
+  CHECK(test.OutcomeOf(again) == "ran");
+  return test.RunsOf("k");
+}
+
+TEST_CASE("claims: a lost answer is settled before anything runs") {
+  CHECK(RunsAfterLostAnswer<StandardClaimRules>(PlatformFault::kLoseAnswers) ==
+        1);
+  CHECK(RunsAfterLostAnswer<StandardClaimRules>(PlatformFault::kSilent) == 1);
+  CHECK(RunsAfterLostAnswer<TrustLostAnswers>(PlatformFault::kSilent) > 1);
+}
+
+/// The admitting daemon is killed after `delay`; the caller sends again.
+template <ClaimRules Rules>
+uint32_t RunsAfterKill(Duration delay, std::string* outcome) {
+  OrderFleet test = MakeFleet<Rules>();
+  test.SetRunTime(50ms);
+  test.Order(1, "k");
+  const uint32_t admitting = test.WaitForClaim("k");
+  test.fleet.Advance(delay);
+  test.fleet.Kill(admitting);
+  const uint64_t again = test.Order(test.Other(admitting), "k");
+  test.fleet.Advance(10s);
+  CHECK(test.EveryNotRunIsTrue());
+  *outcome = test.OutcomeOf(again);
+  return test.RunsOf("k");
+}
+
+TEST_CASE("claims: claim written, then the admitting daemon is killed") {
+  std::string outcome;
+  // The platform's answer takes 2 ms.
+  CHECK(RunsAfterKill<StandardClaimRules>(1ms, &outcome) == 0);
+  CHECK(outcome == "unknown");
+}
+
+TEST_CASE("claims: the admitting daemon is killed in the run") {
+  std::string outcome;
+  CHECK(RunsAfterKill<StandardClaimRules>(20ms, &outcome) == 1);
+  CHECK(outcome == "unknown");
+  CHECK(RunsAfterKill<TakeOverUnasked>(20ms, &outcome) == 2);
+}
+
+TEST_CASE("claims: the daemon restarts and does not know its old claim") {
+  OrderFleet test = MakeFleet();
+  test.SetRunTime(50ms);
+  test.Order(1, "k");
+  test.fleet.Advance(20ms);
+  test.fleet.Restart(test.ClaimantOf("k"));
+  test.fleet.Advance(5s);
+  const uint64_t again = test.Order(1, "k");
+  test.fleet.Advance(5s);
+  CHECK(test.OutcomeOf(again) == "unknown");
+  CHECK(test.RunsOf("k") == 1);
+}
+
+/// The admitting daemon is frozen between claim and run until after the
+/// caller's deadline; returns the runs that began after it.
+template <ClaimRules Rules>
+uint32_t LateRuns() {
+  OrderFleet test = MakeFleet<Rules>();
+  test.Order(1, "k", "body", 2'000);
+  const uint32_t admitting = test.WaitForClaim("k");
+  test.fleet.Freeze(admitting);
+  const uint64_t again = test.Order(test.Other(admitting), "k", "body", 1'000);
+  test.fleet.Advance(10s);
+  CHECK(test.RunsOf("k") == 0);
+  CHECK(test.OutcomeOf(again) == "unknown");
+  test.fleet.Thaw(admitting);
+  test.fleet.Advance(5s);
+  CHECK(test.EveryNotRunIsTrue());
+  return test.RunsOf("k");
+}
+
+TEST_CASE("claims: a daemon frozen past the deadline does not run") {
+  CHECK(LateRuns<StandardClaimRules>() == 0);
+  CHECK(LateRuns<IgnoreDeadline>() == 1);
+}
+
+TEST_CASE("claims: a released claim can be taken by the next call") {
+  OrderFleet test = MakeFleet();
+  test.Order(1, "k", "body", 2'000);
+  const uint32_t admitting = test.WaitForClaim("k");
+  test.fleet.Freeze(admitting);
+  test.fleet.Advance(10s);
+  test.fleet.Thaw(admitting);
+  test.fleet.Advance(10s);
+  const uint64_t again = test.Order(test.Other(admitting), "k");
+  test.fleet.Advance(2s);
+  CHECK(test.OutcomeOf(again) == "ran");
+  CHECK(test.RunsOf("k") == 1);
+}
+
+TEST_CASE("claims: the backend server is killed in the run") {
+  OrderFleet test = MakeFleet();
+  test.SetFault(BackendFault::kConnectionBroken);
+  const uint64_t first = test.Order(1, "k");
+  test.fleet.Advance(2s);
+  CHECK(test.OutcomeOf(first) == "unknown");
+  test.SetFault(BackendFault::kNone);
+  const uint64_t again = test.Order(2, "k");
+  test.fleet.Advance(2s);
+  CHECK(test.OutcomeOf(again) == "unknown");
+  CHECK(test.RunsOf("k") == 1);
+}
+
+TEST_CASE("claims: a backend server that was not reached releases the claim") {
+  OrderFleet test = MakeFleet();
+  test.SetFault(BackendFault::kNotConnected);
+  const uint64_t first = test.Order(1, "k");
+  test.fleet.Advance(2s);
+  CHECK(test.OutcomeOf(first) == "not-run");
+  test.SetFault(BackendFault::kNone);
+  const uint64_t again = test.Order(2, "k");
+  test.fleet.Advance(2s);
+  CHECK(test.OutcomeOf(again) == "ran");
+  CHECK(test.RunsOf("k") == 1);
+}
+
+TEST_CASE("claims: the receiving daemon is killed, the caller sends again") {
+  OrderFleet test = MakeFleet();
+  test.SetRunTime(50ms);
+  test.Order(5, "k");
+  test.fleet.Advance(10ms);
+  test.fleet.Kill(5);
+  const uint64_t again = test.Order(2, "k");
+  test.fleet.Advance(2s);
+  CHECK(test.OutcomeOf(again) == "ran");
+  CHECK(test.RunsOf("k") == 1);
+}
+
+/// A platform that is silent for a minute while 20 calls a second arrive;
+/// returns how many of them were told within 100 ms.
+template <ClaimRules Rules>
+uint32_t RefusedAtOnce() {
+  OrderFleet test = MakeFleet<Rules>();
+  test.fleet.SetPlatformFault(PlatformFault::kSilent);
+  uint32_t at_once = 0;
+  std::vector<uint64_t> calls;
+  for (uint32_t i = 0; i < 1'200; ++i) {
+    const uint64_t call = test.Order(1, "k" + std::to_string(i), "body", 5'000);
+    test.fleet.Advance(50ms);
+    if (test.OutcomeOf(call) == "not-run") ++at_once;
+  }
+  test.fleet.SetPlatformFault(PlatformFault::kNone);
+  test.fleet.Advance(10s);
+  CHECK(test.EveryNotRunIsTrue());
+  const uint64_t after = test.Order(1, "k0");
+  test.fleet.Advance(1s);
+  CHECK(test.OutcomeOf(after) == "ran");
+  return at_once;
+}
+
+TEST_CASE("claims: while the platform is down calls are refused at once") {
+  const uint32_t with = RefusedAtOnce<StandardClaimRules>();
+  const uint32_t without = RefusedAtOnce<NoShortCircuit>();
+  MESSAGE("refused within 50 ms of 1200: " << with << ", without " << without);
+  // Three timeouts of a second and half a second between probes: each of five
+  // daemons delays at most one call in that time, and those of the first
+  // second.
+  CHECK(with > 1'200 - 20 - kOrderDaemons * (60'000 / 3'500 + 1));
+  CHECK(without == 0);
+}
+
+template <ClaimRules Rules>
+std::string OutcomeOfOtherBody() {
+  OrderFleet test = MakeFleet<Rules>();
+  test.Order(1, "k", "one slate");
+  test.fleet.Advance(1s);
+  const uint64_t other = test.Order(2, "k", "two slates");
+  test.fleet.Advance(1s);
+  if (test.OutcomeOf(other) == "not-run") {
+    CHECK(test.ReasonOf(other) == "idempotency-key-reused");
+    CHECK(test.fleet.CallerAnswers()[other].status == 422);
+  }
+  return test.OutcomeOf(other);
+}
+
+TEST_CASE("claims: a key that comes back with another body is refused") {
+  CHECK(OutcomeOfOtherBody<StandardClaimRules>() == "not-run");
+  CHECK(OutcomeOfOtherBody<IgnoreRequest>() == "ran");
+}
+
+TEST_CASE("claims: keys are bounded") {
+  OrderFleet test = MakeFleet();
+  for (const std::string& key :
+       {std::string(256, 'k'), std::string("a b"), std::string("\x01")}) {
+    const uint64_t call = test.Order(1, key);
+    CHECK(test.fleet.CallerAnswers()[call].status == 400);
+    CHECK(test.ReasonOf(call) == "invalid-idempotency-key");
+    CHECK(test.OutcomeOf(call) == "not-run");
+  }
+}
+
+TEST_CASE("claims: rows are deleted after their retention") {
+  OrderFleet test = MakeFleet();
+  for (int i = 0; i < 20; ++i) test.Order(1, "k" + std::to_string(i));
+  test.fleet.Advance(2s);
+  CHECK(test.ClaimRows() == 20);
+  test.fleet.Advance(std::chrono::milliseconds(kClaimRetentionMs) - 60s);
+  CHECK(test.ClaimRows() == 20);
+  test.fleet.Advance(5min);
+  CHECK(test.ClaimRows() == 0);
+}
+
+}  // namespace
+}  // namespace buckthorncart
