Stop a request that kills each backend server that runs it

Cause: a repeatable request that killed its backend server was retried on the next one, and its caller could send it again without end. A connection that breaks in a run counts as a death of the request's fingerprint at once, is told to all daemons (16 reports a second at most), stops retries, and after the second death the request is refused for 10 minutes; GET /v1/crash-guard lists it. A fingerprint that has been answered lately is not suspected: it only ran beside the one that killed. Ruled out: waiting until the backend server is found unreachable (a caller that repeats every 100 ms kills more meanwhile).

--- a/Source/Kernel/claim_events.h
+++ b/Source/Kernel/claim_events.h
@@ -1,6 +1,6 @@
 #pragma once
 /// \file
-/// Events between admission, claims and the crash guard; never recorded.
+/// Events between admission and claims; never recorded.
 
 #include <cstdint>
 #include <msgpack.hpp>
@@ -41,11 +41,4 @@
   MSGPACK_DEFINE(run)
 };
 
-/// A run has ended: `broken` when its connection broke in the run.
-struct RunEnded {
-  uint64_t fingerprint = 0;
-  bool broken = false;
-  MSGPACK_DEFINE(fingerprint, broken)
-};
-
 }  // namespace buckthorncart
--- a/Source/Kernel/directory.h
+++ b/Source/Kernel/directory.h
@@ -41,8 +41,8 @@
   /// Last use of the connection to a peer for calls (receiving, admission,
   /// claims).
   std::map<Address, Time> peers_used;
-  /// Fingerprints whose runs have killed backend servers (crash guard).
-  const CrashRegister* crashes = nullptr;
+  /// Requests whose runs have killed backend servers (crash guard).
+  CrashRegister* crashes = nullptr;
   /// Wall-clock time of the start, milliseconds since the epoch (kernel).
   uint64_t started_wall_ms = 0;
 };
--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -178,7 +178,7 @@
                  BackendAnswered, OperatorRequested, OperatorLeft,
                  ShutdownRequested, ConfigurationAdopted, HeadObserved,
                  MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted,
-                 ClaimWanted, ClaimGranted, ClaimDenied, ClaimUnused, RunEnded>;
+                 ClaimWanted, ClaimGranted, ClaimDenied, ClaimUnused>;
 
 }  // namespace buckthorncart
 
--- a/Source/Plugins/admission.cc
+++ b/Source/Plugins/admission.cc
@@ -6,6 +6,7 @@
 
 #include "Config/value_parsers.h"
 #include "Kernel/context.h"
+#include "Kernel/crash_register.h"
 #include "Kernel/plugin_registry.h"
 #include "Plugins/claim_reply.h"
 
@@ -137,6 +138,9 @@
   if (backend_.state != BackendState::kReady) return Errc::kNotReady;
   if (backend_.service != call.service) return Errc::kNoBackendServer;
   if (call.remaining_ms == 0) return Errc::kDeadlineExpired;
+  if (ctx.Shared().crashes->Refuses(ctx.Now(), call.fingerprint)) {
+    return Errc::kCrashGuard;
+  }
   const bool free_slot = slots_in_use_ < backend_.slots;
   if (!free_slot && QueueLength() >= ctx.Settings().queue_limit) {
     return Errc::kOverloaded;
@@ -224,7 +228,10 @@
   const bool broken = answered.fault == BackendFault::kConnectionBroken;
   if (broken && !run.head_sent) {
     counters_.Add(AdmissionCounter::kBroken);
-    ctx.Send(peer, CallFailed{id, Errc::kBackendServerFailed});
+    const bool suspect =
+        ctx.Shared().crashes->NoteBreak(ctx, run.call.fingerprint);
+    ctx.Send(peer, CallFailed{id, suspect ? Errc::kCrashGuard
+                                          : Errc::kBackendServerFailed});
   } else {
     AnswerPart part = answered.part;
     if (broken) part.end = AnswerEnd::kBroken;
@@ -232,6 +239,7 @@
     ctx.Send(peer, CallAnswer{id, std::move(part), LoadPerMille()});
   }
   if (!broken && answered.part.end == AnswerEnd::kMore) return;
+  if (!broken) ctx.Shared().crashes->NoteSuccess(ctx, run.call.fingerprint);
   counters_.Add(AdmissionCounter::kCompleted);
   EndRun(ctx, answered.run);
   StartQueued(ctx);
--- /dev/null
+++ b/Source/Plugins/crash_guard_inl.h
@@ -0,0 +1,158 @@
+#pragma once
+/// \file
+/// Definitions of `CrashGuard`; include crash_guard.h.
+
+#include <nlohmann/json.hpp>
+
+#include "Kernel/context.h"
+#include "Plugins/crash_guard.h"
+
+namespace buckthorncart {
+
+/// Deaths count, and a refusal lasts, for so long after the last death.
+inline constexpr Duration kCrashMemory = 10min;
+/// Deaths after which a request is refused.
+inline constexpr size_t kDeathsToRefuse = 2;
+inline constexpr size_t kMaxSuspects = 1'024;
+inline constexpr size_t kMaxAnswered = 4'096;
+/// Reports that one daemon spreads in a second, each to all daemons.
+inline constexpr uint32_t kMaxReportsPerSecond = 16;
+
+template <CrashGuardRules Rules>
+void CrashGuard<Rules>::Attach(Context& ctx) {
+  ctx.Shared().crashes = this;
+  ctx.AllMetrics().Add(&counters_);
+  ctx.AllMetrics().AddGauge("crash_guard_suspects", [this] {
+    return static_cast<double>(suspects_.size());
+  });
+}
+
+template <CrashGuardRules Rules>
+void CrashGuard<Rules>::Handle(Context& ctx, const Event& event) {
+  if (const auto* received = std::get_if<PeerMessageReceived>(&event)) {
+    const auto* report = std::get_if<CrashReport>(&received->message);
+    if (report == nullptr) return;
+    if (report->cleared) {
+      Clear(report->fingerprint);
+    } else {
+      AddDeath(ctx, report->fingerprint, report->daemon);
+    }
+    return;
+  }
+  const auto* timer = std::get_if<TimerFired>(&event);
+  if (timer != nullptr && timer->kind == TimerKind::kTick) {
+    DropExpired(ctx.Now());
+  }
+}
+
+template <CrashGuardRules Rules>
+bool CrashGuard<Rules>::HandleOperator(Context& ctx,
+                                       const OperatorRequested& request) {
+  const bool mine =
+      request.http.path == "/v1/crash-guard" && request.http.method == "GET";
+  if (mine) AnswerList(ctx, request.request);
+  return mine;
+}
+
+template <CrashGuardRules Rules>
+bool CrashGuard<Rules>::NoteBreak(Context& ctx, uint64_t fingerprint) {
+  if (Rules::kExonerate && answered_.contains(fingerprint)) {
+    counters_.Add(CrashGuardCounter::kExonerated);
+    return false;
+  }
+  counters_.Add(CrashGuardCounter::kDeaths);
+  AddDeath(ctx, fingerprint, ctx.Settings().self);
+  Spread(ctx, {fingerprint, ctx.Settings().self, false});
+  return Rules::kStopRetries;
+}
+
+template <CrashGuardRules Rules>
+void CrashGuard<Rules>::NoteSuccess(Context& ctx, uint64_t fingerprint) {
+  if (suspects_.contains(fingerprint)) {
+    Clear(fingerprint);
+    Spread(ctx, {fingerprint, ctx.Settings().self, true});
+  }
+  if (!answered_.insert(fingerprint).second) return;
+  answered_order_.push_back(fingerprint);
+  if (answered_order_.size() <= kMaxAnswered) return;
+  answered_.erase(answered_order_.front());
+  answered_order_.pop_front();
+}
+
+template <CrashGuardRules Rules>
+bool CrashGuard<Rules>::Refuses(Time now, uint64_t fingerprint) const {
+  const auto it = suspects_.find(fingerprint);
+  if (!Rules::kRefuse || it == suspects_.end()) return false;
+  return it->second.size() >= kDeathsToRefuse &&
+         now - it->second.back().at < kCrashMemory;
+}
+
+template <CrashGuardRules Rules>
+void CrashGuard<Rules>::AddDeath(Context& ctx, uint64_t fingerprint,
+                                 Address daemon) {
+  const bool known = suspects_.contains(fingerprint);
+  if (!known && suspects_.size() >= kMaxSuspects) return;
+  std::vector<Death>& deaths = suspects_[fingerprint];
+  if (deaths.size() >= kDeathsToRefuse) return;
+  deaths.push_back({daemon, ctx.Now()});
+  if (deaths.size() < kDeathsToRefuse) return;
+  ctx.Log(LogTopic::kCrashGuard,
+          {{"fingerprint", std::to_string(fingerprint)}, {"state", "refused"}},
+          LogLevel::kWarning);
+}
+
+template <CrashGuardRules Rules>
+void CrashGuard<Rules>::Clear(uint64_t fingerprint) {
+  if (suspects_.erase(fingerprint) > 0) {
+    counters_.Add(CrashGuardCounter::kCleared);
+  }
+}
+
+template <CrashGuardRules Rules>
+void CrashGuard<Rules>::Spread(Context& ctx, const CrashReport& report) {
+  if (!Rules::kSpread) return;
+  if (ctx.Now() - report_second_ >= 1s) {
+    report_second_ = ctx.Now();
+    reports_in_second_ = 0;
+  }
+  if (++reports_in_second_ > kMaxReportsPerSecond) {
+    counters_.Add(CrashGuardCounter::kReportsSuppressed);
+    return;
+  }
+  counters_.Add(CrashGuardCounter::kReportsSent);
+  for (const auto& [address, member] : ctx.Shared().members) {
+    if (member.status == MemberStatus::kGone) continue;
+    ctx.Send(address, report);
+  }
+}
+
+template <CrashGuardRules Rules>
+void CrashGuard<Rules>::DropExpired(Time now) {
+  std::erase_if(suspects_, [now](const auto& item) {
+    return now - item.second.back().at >= kCrashMemory;
+  });
+}
+
+template <CrashGuardRules Rules>
+void CrashGuard<Rules>::AnswerList(Context& ctx, uint64_t request) const {
+  constexpr uint16_t kOkStatus = 200;
+  auto list = nlohmann::ordered_json::array();
+  for (const auto& [fingerprint, deaths] : suspects_) {
+    auto daemons = nlohmann::ordered_json::array();
+    for (const Death& death : deaths) {
+      daemons.push_back(death.daemon.ToString());
+    }
+    const Duration left = deaths.back().at + kCrashMemory - ctx.Now();
+    list.push_back({{"fingerprint", std::to_string(fingerprint)},
+                    {"deaths", deaths.size()},
+                    {"refused", Refuses(ctx.Now(), fingerprint)},
+                    {"remaining_ms", ToMilliseconds(left)},
+                    {"daemons", std::move(daemons)}});
+  }
+  const nlohmann::ordered_json body = {
+      {"daemon", ctx.Settings().self.ToString()},
+      {"fingerprints", std::move(list)}};
+  ctx.AnswerJson(request, kOkStatus, body.dump() + "\n");
+}
+
+}  // namespace buckthorncart
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "Base/digest.h"
+#include "Kernel/crash_register.h"
 #include "Plugins/call_failure.h"
 #include "Plugins/claim_row.h"
 #include "Plugins/receiving.h"
@@ -89,6 +90,12 @@
     AnswerFailure(ctx, call, Errc::kDeadlineExpired, Outcome::kNotRun);
     return;
   }
+  const uint64_t fingerprint =
+      DigestOf(request.method + "\n" + request.path + "\n" + request.body);
+  if (ctx.Shared().crashes->Refuses(ctx.Now(), fingerprint)) {
+    AnswerFailure(ctx, call, Errc::kCrashGuard, Outcome::kNotRun);
+    return;
+  }
   const Duration remaining = std::chrono::milliseconds(deadline_ms);
   Active& active = active_[call];
   active.call = call;
@@ -96,8 +103,7 @@
   active.route = *route;
   active.request = request;
   active.idempotency_key = std::string(key);
-  active.fingerprint =
-      DigestOf(request.method + "\n" + request.path + "\n" + request.body);
+  active.fingerprint = fingerprint;
   active.deadline = ctx.Now() + remaining;
   ctx.Shared().active_calls = static_cast<uint32_t>(active_.size());
   ctx.SetTimerIn(remaining, TimerKind::kCallDeadline, call);
--- a/Tests/Support/fake_fleet.cc
+++ b/Tests/Support/fake_fleet.cc
@@ -148,9 +148,23 @@
   Later(kPlatformDelay, n, PlatformReplied{call.tag, std::move(reply)});
 }
 
+BackendBehaviour FakeFleet::BehaviourFor(uint32_t n,
+                                         const HttpRequest& request) {
+  BackendBehaviour& own = behaviours_[n];
+  BackendBehaviour behaviour = own;
+  if (own.dead) {
+    behaviour.fault = BackendFault::kNotConnected;
+  } else if (!own.killed_by.empty() &&
+             request.path.find(own.killed_by) != std::string::npos) {
+    behaviour.fault = BackendFault::kConnectionBroken;
+    own.dead = true;
+  }
+  return behaviour;
+}
+
 void FakeFleet::CarryBackend(FakeDaemon& from, const CallBackend& call) {
   const uint32_t n = NumberOf(from.Self());
-  const BackendBehaviour& behaviour = behaviours_[n];
+  const BackendBehaviour behaviour = BehaviourFor(n, call.request);
   if (behaviour.fault != BackendFault::kNotConnected) {
     ++runs_[n];
     const std::string key(
@@ -208,6 +222,7 @@
   if (!announcements_.empty() && next_announcement_ <= now_) {
     next_announcement_ = now_ + kAnnounceInterval;
     for (const auto& [n, body] : announcements_) {
+      if (behaviours_[n].dead) continue;
       DeliverNow(n,
                  OperatorRequested{++next_request_,
                                    {"POST", "/v1/backend-server", {}, body}});
--- a/Tests/Support/fake_fleet.h
+++ b/Tests/Support/fake_fleet.h
@@ -31,6 +31,9 @@
   Duration time = 1ms;
   BackendFault fault = BackendFault::kNone;
   bool never_answers = false;
+  /// A request whose path contains this kills the backend server.
+  std::string killed_by;
+  bool dead = false;
 };
 
 class FakeFleet {
@@ -104,6 +107,7 @@
  private:
   void Carry(FakeDaemon& from, Effect effect);
   void CarryPlatform(FakeDaemon& from, const CallPlatform& call);
+  BackendBehaviour BehaviourFor(uint32_t n, const HttpRequest& request);
   void CarryBackend(FakeDaemon& from, const CallBackend& call);
   void CarryAnswer(const AnswerCaller& answer);
   void Later(Duration delay, uint32_t to, Event event);
