Record outcomes of orders before a leaving daemon exits

Cause: a daemon that drained during a platform outage exited with outcomes that no row held, so that a repeated order ended as unknown. Figures, virtual time: the repeated order is told ran with its answer; unknown without the rule.

--- a/Source/Kernel/directory.h
+++ b/Source/Kernel/directory.h
@@ -43,6 +43,9 @@
   std::map<Address, Time> peers_used;
   /// Requests whose runs have killed backend servers (crash guard).
   CrashRegister* crashes = nullptr;
+  /// Outcomes of unrepeatable calls that the platform has not confirmed
+  /// (claims).
+  uint32_t unrecorded_outcomes = 0;
   /// Wall-clock time of the start, milliseconds since the epoch (kernel).
   uint64_t started_wall_ms = 0;
 };
--- a/Source/Plugins/claim_rules.h
+++ b/Source/Plugins/claim_rules.h
@@ -17,6 +17,7 @@
   { R::kShortCircuit } -> std::convertible_to<bool>;
   { R::kCompareRequests } -> std::convertible_to<bool>;
   { R::kKeepPromises } -> std::convertible_to<bool>;
+  { R::kRecordBeforeExit } -> std::convertible_to<bool>;
 };
 
 struct StandardClaimRules {
@@ -37,6 +38,8 @@
   static constexpr bool kCompareRequests = true;
   /// A call that was said never to run does not run when it arrives late.
   static constexpr bool kKeepPromises = true;
+  /// A leaving daemon exits after it has recorded its outcomes.
+  static constexpr bool kRecordBeforeExit = true;
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/claims.h
+++ b/Source/Plugins/claims.h
@@ -128,6 +128,7 @@
   /// Queues a transaction that is repeated until its outcome is known.
   void WriteLater(Context& ctx, Transaction transaction);
   void SendPending(Context& ctx);
+  void NotePending(Context& ctx);
 
   Claim* FindByRun(uint64_t run);
 
--- a/Source/Plugins/claims_inl.h
+++ b/Source/Plugins/claims_inl.h
@@ -167,6 +167,7 @@
   if (pending != pending_tags_.end()) {
     if (failed) pending_.push_back(std::move(pending->second));
     pending_tags_.erase(pending);
+    NotePending(ctx);
     return;
   }
   const uint64_t run = tag->second;
@@ -528,9 +529,17 @@
 template <ClaimRules Rules>
 void Claims<Rules>::WriteLater(Context& ctx, Transaction transaction) {
   pending_.push_back(std::move(transaction));
+  NotePending(ctx);
   if (!circuit_.IsOpen()) SendPending(ctx);
 }
 
+template <ClaimRules Rules>
+void Claims<Rules>::NotePending(Context& ctx) {
+  if (!Rules::kRecordBeforeExit) return;
+  ctx.Shared().unrecorded_outcomes =
+      static_cast<uint32_t>(pending_.size() + pending_tags_.size());
+}
+
 template <ClaimRules Rules>
 void Claims<Rules>::SendPending(Context& ctx) {
   const size_t batch = circuit_.IsOpen() ? 1 : kPendingBatch;
--- a/Source/Plugins/drain.cc
+++ b/Source/Plugins/drain.cc
@@ -38,8 +38,9 @@
 }
 
 void Drain::ExitWhenIdle(Context& ctx) {
-  const bool busy =
-      ctx.Shared().active_runs > 0 || ctx.Shared().active_calls > 0;
+  const bool busy = ctx.Shared().active_runs > 0 ||
+                    ctx.Shared().active_calls > 0 ||
+                    ctx.Shared().unrecorded_outcomes > 0;
   if (busy) busy_at_ = ctx.Now();
   const bool quiet = ctx.Now() - busy_at_ >= kQuietBeforeExit;
   if (!quiet && ctx.Now() - began_ < kMaxDrain) return;
--- a/Tests/Requests/claims_test.cc
+++ b/Tests/Requests/claims_test.cc
@@ -1,9 +1,9 @@
 #include "Plugins/claims.h"
 
 #include <doctest/doctest.h>
-#include <rapidcheck.h>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +28,9 @@
 struct NoShortCircuit : StandardClaimRules {
   static constexpr bool kShortCircuit = false;
 };
+struct ExitUnrecorded : StandardClaimRules {
+  static constexpr bool kRecordBeforeExit = false;
+};
 struct IgnoreRequest : StandardClaimRules {
   static constexpr bool kCompareRequests = false;
 };
@@ -270,6 +273,66 @@
   }
 }
 
+/// An order ends while the platform is down and its daemon is asked to leave;
+/// returns what the caller is told of it after the platform is back.
+template <ClaimRules Rules>
+std::string OutcomeAfterDrain() {
+  OrderFleet test = MakeFleet<Rules>();
+  std::set<Address> exited;
+  test.fleet.SetFilter([&exited](Address from, const Effect& effect) {
+    if (std::holds_alternative<Exit>(effect)) exited.insert(from);
+    return true;
+  });
+  test.SetRunTime(50ms);
+  test.Order(1, "k");
+  const uint32_t admitting = test.WaitForClaim("k");
+  test.fleet.Advance(20ms);
+  test.fleet.SetPlatformFault(PlatformFault::kDown);
+  FakeDaemon& daemon = test.fleet.At(admitting);
+  daemon.Deliver(test.fleet.Now(), ShutdownRequested{});
+  const Address address = daemon.Self();
+  const auto has_exited = [&] { return exited.contains(address); };
+  test.fleet.AdvanceUntil(has_exited, 10s);
+  if (has_exited()) test.fleet.Kill(admitting);
+  test.fleet.SetPlatformFault(PlatformFault::kNone);
+  if (!has_exited() && test.fleet.AdvanceUntil(has_exited, 10s)) {
+    test.fleet.Kill(admitting);
+  }
+  test.fleet.Advance(2s);
+  const uint64_t again = test.Order(test.Other(admitting), "k");
+  test.fleet.Advance(2s);
+  CHECK(has_exited());
+  CHECK(test.RunsOf("k") == 1);
+  return test.OutcomeOf(again);
+}
+
+TEST_CASE("claims: a leaving daemon records its outcomes before it exits") {
+  CHECK(OutcomeAfterDrain<StandardClaimRules>() == "ran");
+  CHECK(OutcomeAfterDrain<ExitUnrecorded>() == "unknown");
+}
+
+/// Platform writes for each order at a steady rate through all daemons.
+double WritesForEachOrder(uint32_t orders_per_second) {
+  OrderFleet test = MakeFleet();
+  constexpr uint32_t kSeconds = 4;
+  const uint64_t before = test.fleet.PlatformWrites();
+  const uint32_t orders = orders_per_second * kSeconds;
+  for (uint32_t i = 0; i < orders; ++i) {
+    test.Order(1 + i % kOrderDaemons, "k" + std::to_string(i));
+    test.fleet.Advance(Duration(1s) / orders_per_second);
+  }
+  test.fleet.Advance(5s);
+  return static_cast<double>(test.fleet.PlatformWrites() - before) / orders;
+}
+
+TEST_CASE("claims: an order costs two writes at any rate") {
+  for (const uint32_t rate : {5U, 50U, 500U}) {
+    const double writes = WritesForEachOrder(rate);
+    MESSAGE("orders/s " << rate << ": writes for each order " << writes);
+    CHECK(writes <= 2.0);
+  }
+}
+
 TEST_CASE("claims: rows are deleted after their retention") {
   OrderFleet test = MakeFleet();
   for (int i = 0; i < 20; ++i) test.Order(1, "k" + std::to_string(i));
