--- a/Source/Kernel/directory.h
+++ b/Source/Kernel/directory.h
@@ -9,12 +9,14 @@
 #include <utility>
 
 #include "Base/address.h"
+#include "Base/time.h"
 #include "Config/change.h"
 #include "Config/snapshot.h"
 #include "Wire/member.h"
 
 namespace buckthorncart {
 
+class CrashRegister;
 class PlatformQueue;
 
 /// Each field is written by the one plug-in named beside it and read by all.
@@ -41,6 +43,14 @@
   uint32_t active_calls = 0;
   /// Runs by the daemon that sent the call and the call's id (admission).
   const std::map<std::pair<Address, uint64_t>, uint64_t>* run_of_call = nullptr;
+  /// Last use of the connection to a peer for calls (receiving, admission,
+  /// claims).
+  std::map<Address, Time> peers_used;
+  /// Requests whose runs have killed backend servers (crash guard).
+  CrashRegister* crashes = nullptr;
+  /// Outcomes of unrepeatable calls that the platform has not confirmed
+  /// (claims).
+  uint32_t unrecorded_outcomes = 0;
   /// Wall-clock time of the start, milliseconds since the epoch (kernel).
   uint64_t started_wall_ms = 0;
 };
--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -8,6 +8,7 @@
 
 #include "Base/address.h"
 #include "Base/time.h"
+#include "Kernel/claim_events.h"
 #include "Platform/platform_messages.h"
 #include "Wire/datagrams.h"
 #include "Wire/http.h"
@@ -185,7 +186,8 @@
                  BackendAnswered, OperatorRequested, OperatorLeft,
                  ShutdownRequested, ConfigurationAdopted, HeadObserved,
                  MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted,
-                 CallerDrained>;
+                 CallerDrained, ClaimWanted, ClaimGranted, ClaimDenied,
+                 ClaimUnused>;
 
 }  // namespace buckthorncart
 
--- a/Source/Plugins/admission.cc
+++ b/Source/Plugins/admission.cc
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "Kernel/plugin_registry.h"
+#include "Plugins/claim_reply.h"
 
 namespace buckthorncart {
 namespace {
--- a/Source/Plugins/admission.h
+++ b/Source/Plugins/admission.h
@@ -11,6 +11,7 @@
 #include "Base/address.h"
 #include "Base/error.h"
 #include "Base/time.h"
+#include "Kernel/claim_events.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
 #include "Plugins/admission_queue.h"
@@ -65,6 +66,8 @@
     Time started_at{};
     /// Parts of the answer sent so far.
     uint32_t parts = 0;
+    /// Unrepeatable, and its claim has not been decided.
+    bool awaiting_claim = false;
   };
   static constexpr size_t kClasses = 2;
 
@@ -84,6 +87,9 @@
   void SendPart(Context& ctx, Run& run, AnswerPart part);
   bool IsTooLate(Context& ctx, RequestClass request_class, Duration remaining,
                  size_t ahead) const;
+  void HandleClaimDenied(Context& ctx, const ClaimDenied& denied);
+  /// Starts the run or queues it for a slot.
+  void StartOrQueue(Context& ctx, uint64_t number);
   void StartQueued(Context& ctx);
   void StartRun(Context& ctx, uint64_t number);
   void EndRun(Context& ctx, uint64_t number);
--- a/Source/Plugins/admission_inl.h
+++ b/Source/Plugins/admission_inl.h
@@ -7,8 +7,11 @@
 #include <vector>
 
 #include "Kernel/context.h"
+#include "Kernel/crash_register.h"
 #include "Plugins/admission.h"
 #include "Plugins/announcement_json.h"
+#include "Plugins/call_failure.h"
+#include "Plugins/claim_reply.h"
 
 namespace buckthorncart {
 
@@ -47,6 +50,10 @@
     } else if (timer->kind == TimerKind::kTick) {
       HandleTick(ctx);
     }
+  } else if (const auto* granted = std::get_if<ClaimGranted>(&event)) {
+    StartOrQueue(ctx, granted->run);
+  } else if (const auto* denied = std::get_if<ClaimDenied>(&event)) {
+    HandleClaimDenied(ctx, *denied);
   }
 }
 
@@ -104,8 +111,9 @@
   if (backend_.state != BackendState::kReady) return Errc::kNotReady;
   if (backend_.service != call.service) return Errc::kNoBackendServer;
   if (call.remaining_ms == 0) return Errc::kDeadlineExpired;
-  // Unrepeatable calls need a claim, which this daemon cannot take yet.
-  if (!call.repeatable) return Errc::kClaimUndecided;
+  if (ctx.Shared().crashes->Refuses(ctx.Now(), call.fingerprint)) {
+    return Errc::kCrashGuard;
+  }
   const uint32_t slots = Slots(ctx);
   if (slots == 0) return Errc::kOverloaded;
   const Duration remaining = std::chrono::milliseconds(call.remaining_ms);
@@ -125,6 +133,7 @@
 template <RequestRules Rules>
 void Admission<Rules>::HandleCall(Context& ctx, Address from,
                                   const Call& call) {
+  ctx.Shared().peers_used[from] = ctx.Now();
   const CallKey key{from, call.id};
   if (run_of_call_.contains(key)) return;
   const Errc reason = ReasonToRefuse(ctx, call);
@@ -134,19 +143,46 @@
   }
   const uint64_t number = ++next_run_;
   const Duration remaining = std::chrono::milliseconds(call.remaining_ms);
-  runs_[number] = {key, call, ctx.Now() + remaining, false, false};
+  Run& run = runs_[number];
+  run.key = key;
+  run.call = call;
+  run.deadline = ctx.Now() + remaining;
+  run.awaiting_claim = !call.repeatable;
   run_of_call_[key] = number;
   ctx.Shared().active_runs = static_cast<uint32_t>(runs_.size());
   ctx.SetTimerIn(remaining, TimerKind::kQueueDeadline, number);
+  if (!call.repeatable) {
+    ctx.Raise(ClaimWanted{number, from, call});
+    return;
+  }
+  StartOrQueue(ctx, number);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleClaimDenied(Context& ctx,
+                                         const ClaimDenied& denied) {
+  const auto it = runs_.find(denied.run);
+  if (it == runs_.end()) return;
+  const auto [peer, id] = it->second.key;
+  EndRun(ctx, denied.run);
+  ctx.Send(peer, MakeClaimReply(id, denied.reason, denied.result));
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::StartOrQueue(Context& ctx, uint64_t number) {
+  const auto it = runs_.find(number);
+  if (it == runs_.end()) return;
+  it->second.awaiting_claim = false;
   if (slots_in_use_ < Slots(ctx) && queue_.Size() == 0) {
     StartRun(ctx, number);
     return;
   }
   counters_.Add(AdmissionCounter::kQueued);
+  const RequestClass request_class = it->second.call.request_class;
   if (queue_.Size() >= ctx.Settings().queue_limit) {
-    EvictFor(ctx, call.request_class);
+    EvictFor(ctx, request_class);
   }
-  queue_.Push(number, call.request_class);
+  queue_.Push(number, request_class);
 }
 
 template <RequestRules Rules>
@@ -225,7 +261,10 @@
   const bool broken = answered.fault == BackendFault::kConnectionBroken;
   if (broken && !run.head_sent) {
     counters_.Add(AdmissionCounter::kBroken);
-    ctx.Send(peer, CallFailed{id, Errc::kBackendServerFailed});
+    const bool suspect =
+        ctx.Shared().crashes->NoteBreak(ctx, run.call.fingerprint);
+    ctx.Send(peer, CallFailed{id, suspect ? Errc::kCrashGuard
+                                          : Errc::kBackendServerFailed});
   } else {
     AnswerPart part = answered.part;
     if (broken) part.end = AnswerEnd::kBroken;
@@ -234,6 +273,7 @@
   if (!broken && answered.part.end == AnswerEnd::kMore) return;
   counters_.Add(AdmissionCounter::kCompleted);
   if (!broken) {
+    ctx.Shared().crashes->NoteSuccess(ctx, run.call.fingerprint);
     shed_limit_.NoteAnswer(backend_.slots);
     TimeOf(run).Note(ctx.Now() - run.started_at, ctx.Now());
   }
@@ -245,9 +285,7 @@
 /// the request.
 template <RequestRules Rules>
 bool Admission<Rules>::IsShed(const AnswerPart& part) {
-  constexpr uint16_t kServiceUnavailable = 503;
-  return Rules::kTakeShedAsNotRun && part.status == kServiceUnavailable &&
-         FindHeader(part.headers, header::kOutcome) == NameOf(Outcome::kNotRun);
+  return Rules::kTakeShedAsNotRun && IsShedAnswer(part);
 }
 
 template <RequestRules Rules>
@@ -302,6 +340,7 @@
     CancelStarted(ctx, number);
     return;
   }
+  if (it->second.awaiting_claim) return;
   counters_.Add(AdmissionCounter::kExpiredInQueue);
   const CallKey key = it->second.key;
   EndRun(ctx, number);
@@ -334,6 +373,9 @@
   if (it->second.started) --slots_in_use_;
   if (!it->second.started) {
     queue_.Erase(number);
+    const bool claimed =
+        !it->second.call.repeatable && !it->second.awaiting_claim;
+    if (claimed) ctx.Raise(ClaimUnused{number});
   }
   run_of_call_.erase(it->second.key);
   runs_.erase(it);
--- a/Source/Plugins/drain.cc
+++ b/Source/Plugins/drain.cc
@@ -41,8 +41,9 @@
 }
 
 void Drain::ExitWhenIdle(Context& ctx) {
-  const bool busy =
-      ctx.Shared().active_runs > 0 || ctx.Shared().active_calls > 0;
+  const bool busy = ctx.Shared().active_runs > 0 ||
+                    ctx.Shared().active_calls > 0 ||
+                    ctx.Shared().unrecorded_outcomes > 0;
   const Duration lasted = ctx.Now() - began_;
   if (busy) busy_at_ = ctx.Now();
   if (lasted >= kCallersGrace) ctx.Shared().refusing_callers = true;
--- a/Source/Plugins/receiving.h
+++ b/Source/Plugins/receiving.h
@@ -78,6 +78,9 @@
     bool may_have_run = false;
     /// Parts of the current attempt's answer that have arrived.
     uint32_t parts = 0;
+    /// Incarnation of the admitting daemon.
+    uint64_t incarnation = 0;
+    uint32_t outcome_queries = 0;
   };
 
   void HandleRequest(Context& ctx, const CallerRequested& requested);
@@ -90,6 +93,11 @@
   void HandleDeadline(Context& ctx, uint64_t call);
   void HandleMemberChanged(Context& ctx, Address address);
 
+  /// Keeps the connections of calls without an answer under watch.
+  void NotePeersInUse(Context& ctx) const;
+  /// Asks the admitting daemon what became of an unrepeatable call; false
+  /// when that is pointless.
+  bool QueryOutcome(Context& ctx, Active& active);
   void Attempt(Context& ctx, Active& active);
   void RetryOrAnswer(Context& ctx, Active& active, Errc reason, Outcome outcome,
                      bool charged);
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -7,13 +7,17 @@
 #include <utility>
 
 #include "Base/digest.h"
+#include "Kernel/crash_register.h"
 #include "Plugins/call_failure.h"
+#include "Plugins/claim_row.h"
 #include "Plugins/receiving.h"
 
 namespace buckthorncart {
 
 /// Longest deadline that a caller may give, milliseconds.
 inline constexpr uint32_t kMaxDeadlineMs = 3'600'000;
+/// Times that the outcome of one attempt is asked for.
+inline constexpr uint32_t kMaxOutcomeQueries = 2;
 
 template <BackendChoice Choice, RequestRules Rules>
 Receiving<Choice, Rules>::Receiving(const KernelSettings& settings)
@@ -39,6 +43,8 @@
   } else if (const auto* timer = std::get_if<TimerFired>(&event)) {
     if (timer->kind == TimerKind::kCallDeadline) {
       HandleDeadline(ctx, timer->argument);
+    } else if (timer->kind == TimerKind::kTick) {
+      NotePeersInUse(ctx);
     }
   } else if (const auto* changed = std::get_if<MemberChanged>(&event)) {
     HandleMemberChanged(ctx, changed->address);
@@ -74,6 +80,10 @@
     AnswerFailure(ctx, call, Errc::kMissingIdempotencyKey, Outcome::kNotRun);
     return;
   }
+  if (!key.empty() && !IsIdempotencyKey(key)) {
+    AnswerFailure(ctx, call, Errc::kInvalidIdempotencyKey, Outcome::kNotRun);
+    return;
+  }
   uint32_t deadline_ms = route->timeout_ms;
   const std::string_view text = FindHeader(request.headers, header::kDeadline);
   if (!text.empty()) {
@@ -88,6 +98,12 @@
     AnswerFailure(ctx, call, Errc::kDeadlineExpired, Outcome::kNotRun);
     return;
   }
+  const uint64_t fingerprint =
+      DigestOf(request.method + "\n" + request.path + "\n" + request.body);
+  if (ctx.Shared().crashes->Refuses(ctx.Now(), fingerprint)) {
+    AnswerFailure(ctx, call, Errc::kCrashGuard, Outcome::kNotRun);
+    return;
+  }
   const Duration remaining = std::chrono::milliseconds(deadline_ms);
   Active& active = active_[call];
   active.call = call;
@@ -95,8 +111,7 @@
   active.route = *route;
   active.request = request;
   active.idempotency_key = std::string(key);
-  active.fingerprint =
-      DigestOf(request.method + "\n" + request.path + "\n" + request.body);
+  active.fingerprint = fingerprint;
   active.deadline = ctx.Now() + remaining;
   ctx.Shared().active_calls = static_cast<uint32_t>(active_.size());
   ctx.SetTimerIn(remaining, TimerKind::kCallDeadline, call);
@@ -132,6 +147,12 @@
   active.parts = 0;
   ++active.attempts;
   loads_.NoteSent(chosen.daemon);
+  active.outcome_queries = 0;
+  const auto member = ctx.Shared().members.find(chosen.daemon);
+  if (member != ctx.Shared().members.end()) {
+    active.incarnation = member->second.incarnation;
+  }
+  ctx.Shared().peers_used[chosen.daemon] = ctx.Now();
   counters_.Add(ReceivingCounter::kAttempts);
   const auto remaining = ToMilliseconds(active.deadline - ctx.Now());
   ctx.Send(chosen.daemon,
@@ -290,7 +311,8 @@
   }
   if (outcome != Outcome::kNotRun) active.may_have_run = true;
   const bool may_run_again =
-      outcome == Outcome::kNotRun || active.route.repeatable;
+      (outcome == Outcome::kNotRun || active.route.repeatable) &&
+      !IsFinalRefusal(reason);
   if (may_run_again && MayRetry(ctx, active, charged)) {
     counters_.Add(ReceivingCounter::kRetries);
     Attempt(ctx, active);
@@ -315,6 +337,8 @@
                                             const CallAnswer& answer) {
   Active* active = FindFrom(from, answer.id);
   if (active == nullptr) return;
+  // The first parts were lost with a connection; the whole answer follows.
+  if (!active->head_sent && !answer.part.IsHead()) return;
   if (Rules::kCheckPartOrder && answer.sequence != 0) {
     if (answer.sequence <= active->parts) return;
     if (answer.sequence > active->parts + 1) {
@@ -369,11 +393,32 @@
   if (!calls.empty()) NoteFailure(ctx, peer);
   for (const uint64_t call : calls) {
     Active& active = active_.at(call);
+    if (QueryOutcome(ctx, active)) continue;
     ReleasePeer(active);
     RetryOrAnswer(ctx, active, Errc::kConnectionLost, Outcome::kUnknown, true);
   }
 }
 
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::NotePeersInUse(Context& ctx) const {
+  for (const auto& [call, active] : active_) {
+    if (!active.admitting.IsSet()) continue;
+    ctx.Shared().peers_used[active.admitting] = ctx.Now();
+  }
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+bool Receiving<Choice, Rules>::QueryOutcome(Context& ctx, Active& active) {
+  if (active.route.repeatable || active.head_sent) return false;
+  if (active.outcome_queries >= kMaxOutcomeQueries) return false;
+  ++active.outcome_queries;
+  ctx.Shared().peers_used[active.admitting] = ctx.Now();
+  ctx.Send(active.admitting,
+           OutcomeQuery{active.call, active.route.service,
+                        active.idempotency_key, active.incarnation});
+  return true;
+}
+
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::HandleCallerLeft(Context& ctx, uint64_t call) {
   const auto it = active_.find(call);
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -12,6 +12,7 @@
 #include "Base/error.h"
 #include "Config/change.h"
 #include "Config/snapshot.h"
+#include "Wire/claim_messages.h"
 #include "Wire/http.h"
 #include "Wire/member.h"
 
@@ -179,7 +180,8 @@
                  SnapshotBusy, VersionHeld, FloorQuery, FloorReport,
                  PullMembers, PushMembers, Call, CallRefused, CallAnswer,
                  CallFailed, CancelCall, OperatorQuery, OperatorReply,
-                 CallCredit>;
+                 CallCredit, ClaimQuery, ClaimReport, OutcomeQuery,
+                 CrashReport>;
 
 }  // namespace buckthorncart
 
--- a/Tests/Support/fake_fleet.h
+++ b/Tests/Support/fake_fleet.h
@@ -37,6 +37,9 @@
   bool sheds = false;
   /// Parts of the answer, `time` apart; empty for a short whole answer.
   std::vector<AnswerPart> parts;
+  /// A request whose path contains this kills the backend server.
+  std::string killed_by;
+  bool dead = false;
 };
 
 class FakeFleet {
@@ -121,6 +124,7 @@
  private:
   void Carry(FakeDaemon& from, Effect effect);
   void CarryPlatform(FakeDaemon& from, const CallPlatform& call);
+  BackendBehaviour BehaviourFor(uint32_t n, const HttpRequest& request);
   void CarryBackend(FakeDaemon& from, const CallBackend& call);
   void CarryCancel(const FakeDaemon& from, const CancelBackend& cancel);
   void CarryAnswer(const AnswerCaller& answer);
