--- a/Source/Plugins/change_acceptor.h
+++ b/Source/Plugins/change_acceptor.h
@@ -12,6 +12,7 @@
 
 #include "Base/address.h"
 #include "Base/error.h"
+#include "Base/time.h"
 #include "Config/change.h"
 #include "Config/configuration.h"
 #include "Kernel/counters.h"
@@ -74,6 +75,8 @@
     std::vector<Edit> edits;
     uint64_t edits_digest = 0;
     uint64_t base = 0;
+    /// End of the wait for a decision.
+    Time deadline{};
     Phase phase = Phase::kTransact;
     std::optional<uint64_t> tag;
     Change change;
--- a/Source/Plugins/change_submission_inl.h
+++ b/Source/Plugins/change_submission_inl.h
@@ -40,8 +40,10 @@
     ctx.AnswerJson(request.request, 200, body.dump() + "\n");
     return;
   }
-  ctx.SetTimerIn(std::chrono::milliseconds(ctx.Settings().decision_timeout_ms),
-                 TimerKind::kAcceptance, operation.number);
+  const Duration limit =
+      std::chrono::milliseconds(ctx.Settings().decision_timeout_ms);
+  operation.deadline = ctx.Now() + limit;
+  ctx.SetTimerIn(limit, TimerKind::kAcceptance, operation.number);
   waiting_.push_back(std::move(operation));
   StartNext(ctx);
 }
@@ -121,7 +123,11 @@
 
 template <AcceptanceRules Rules>
 void ChangeAcceptor<Rules>::StartNext(Context& ctx) {
-  if (current_ || waiting_.empty()) return;
+  if (current_) return;
+  while (!waiting_.empty() && waiting_.front().deadline <= ctx.Now()) {
+    Expire(ctx, waiting_.front().number);
+  }
+  if (waiting_.empty()) return;
   if (Rules::kWaitUntilReady && !ctx.Shared().ready) return;
   current_ = std::move(waiting_.front());
   waiting_.pop_front();
--- a/Tests/Configuration/race_test.cc
+++ b/Tests/Configuration/race_test.cc
@@ -360,6 +360,22 @@
   CHECK(HoldersWhenRelaysAreSilent<NoResend>() == 0);
 }
 
+TEST_CASE("turn: an operation that waits too long is refused, not run") {
+  RaceFleet test;
+  test.fleet.SetPlatformFault(PlatformFault::kSilent);
+  test.requests["a"] =
+      test.fleet.Submit(1, "POST", "/v1/changes", "create service a");
+  test.requests["b"] =
+      test.fleet.Submit(1, "POST", "/v1/changes", "create service b");
+  test.fleet.Advance(11s);
+  CHECK(test.AnswerOf("a")["result"] == "undecided");
+  CHECK(test.AnswerOf("b")["result"] == "refused");
+  CHECK(test.AnswerOf("b")["error"] == "timeout");
+  test.fleet.SetPlatformFault(PlatformFault::kNone);
+  test.fleet.Advance(5s);
+  CHECK(test.Head() == 0);
+}
+
 TEST_CASE("operation: a withdrawn id is refused as such") {
   RaceFleet test;
   CHECK(test.Ask(2, "spring", "?settle=yes")["result"] == "withdrawn");
