--- a/Tests/Configuration/spreading_property_test.cc
+++ b/Tests/Configuration/spreading_property_test.cc
@@ -198,7 +198,7 @@
 
   /// Delivers a change whose contents do not fit its digest.
   void Corrupt(uint32_t n) {
-    class Change change;
+    struct Change change;
     change.version = fleet_.At(n).Version() + 1;
     change.operation_id = "corrupt";
     change.edits = {{EditAction::kCreate, ObjectKind::kService, "corrupt", {}}};
