--- a/Tests/Membership/full_size_model.cc
+++ b/Tests/Membership/full_size_model.cc
@@ -1,7 +1,7 @@
 /// \file
-/// `full_size_model N WAY PROFILE`: kernels of N daemons in virtual time;
-/// prints control bytes at rest and for one change, and the time until it is in
-/// force.
+/// `full_size_model N WAY PROFILE SETTLE`: kernels of N daemons in virtual
+/// time; prints control bytes at rest and for one change, and the time until it
+/// is in force.
 
 #include <algorithm>
 #include <iostream>
@@ -12,7 +12,8 @@
 namespace buckthorncart {
 namespace {
 
-void Run(uint32_t size, Spreading way, SpreadingProfile profile) {
+void Run(uint32_t size, Spreading way, SpreadingProfile profile,
+         Duration settle) {
   LargeFleet test(size, StandardPlugins,
                   [way, profile](KernelSettings& settings) {
                     settings.spreading = way;
@@ -29,7 +30,7 @@
             << NameOf(test.fleet.At(1).Settings().spreading) << ", daemons "
             << size << ", joined " << joined << " after "
             << ToMilliseconds(test.fleet.Now() - 1h) << " ms\n";
-  test.fleet.Advance(60s);
+  test.fleet.Advance(settle);
   constexpr int kRestSeconds = 10;
   const uint64_t before = test.SentBytesOfAll();
   test.fleet.Advance(Duration(1s) * kRestSeconds);
@@ -75,10 +76,13 @@
   const auto profile =
       buckthorncart::ParseEnum<buckthorncart::SpreadingProfile>(
           argc > 3 ? argv[3] : "balanced");
+  constexpr int kSettleArgument = 4;
+  const std::chrono::seconds settle(
+      argc > kSettleArgument ? std::stol(argv[kSettleArgument]) : 60);
   if (!way || !profile) {
-    std::cerr << "full_size_model: expected N WAY PROFILE\n";
+    std::cerr << "full_size_model: expected N WAY PROFILE SECONDS\n";
     return 2;
   }
-  buckthorncart::Run(size, *way, *profile);
+  buckthorncart::Run(size, *way, *profile, settle);
   return 0;
 }
