--- a/Source/Plugins/admission_queue.h
+++ b/Source/Plugins/admission_queue.h
@@ -28,7 +28,8 @@
   std::optional<uint64_t> Pop() {
     if (Size() == 0) return std::nullopt;
     const bool both = !Interactive().empty() && !Bulk().empty();
-    const bool bulk_turn = both && ++starts_ % kBulkInterval == 0;
+    const bool bulk_turn =
+        Rules::kShareWithBulk && both && ++starts_ % kBulkInterval == 0;
     auto& queue = Interactive().empty() || bulk_turn ? Bulk() : Interactive();
     const uint64_t run = queue.front();
     queue.pop_front();
--- a/Source/Plugins/backend_choice.cc
+++ b/Source/Plugins/backend_choice.cc
@@ -69,8 +69,13 @@
 template <typename Cost>
 size_t PickBetter(Context& ctx, const std::vector<Candidate>& all, Cost cost) {
   const std::vector<size_t> near = Nearest(all);
-  const size_t first = PickOne(ctx, near);
-  const size_t second = PickOne(ctx, near);
+  const size_t first_at = ctx.RandomBelow(static_cast<uint32_t>(near.size()));
+  const size_t first = near[first_at];
+  if (near.size() == 1) return first;
+  // The second is another one; else a slow candidate is drawn twice so often
+  // that its queue grows in spite of the comparison.
+  const auto step = ctx.RandomBelow(static_cast<uint32_t>(near.size() - 1));
+  const size_t second = near[(first_at + 1 + step) % near.size()];
   return cost(all[second]) < cost(all[first]) ? second : first;
 }
 
--- a/Source/Plugins/request_rules.h
+++ b/Source/Plugins/request_rules.h
@@ -12,6 +12,7 @@
 concept RequestRules = requires {
   { R::kCheckServiceTime } -> std::convertible_to<bool>;
   { R::kSeparateClasses } -> std::convertible_to<bool>;
+  { R::kShareWithBulk } -> std::convertible_to<bool>;
   { R::kCancelExpired } -> std::convertible_to<bool>;
   { R::kTakeShedAsNotRun } -> std::convertible_to<bool>;
   { R::kBoundRetries } -> std::convertible_to<bool>;
@@ -27,6 +28,8 @@
   /// Interactive calls start before bulk ones and evict them from a full
   /// queue.
   static constexpr bool kSeparateClasses = true;
+  /// Bulk calls keep a small share of the starts.
+  static constexpr bool kShareWithBulk = true;
   /// A repeatable run is cancelled at its deadline.
   static constexpr bool kCancelExpired = true;
   /// A request that the backend server shed is refused as not run.
