Join claims of a data centre into fewer writes

Cause: an order cost 2 platform writes at any rate, so that 300 writes/s carry 150 orders/s. One relay in each data centre, by rendezvous hash, joins transactions: one batch at a time, one each 10 ms at most; safety stays with each transaction's own conditions, and a lost relay is settled directly.

--- a/Source/Kernel/claim_events.h
+++ b/Source/Kernel/claim_events.h
@@ -41,4 +41,13 @@
   MSGPACK_DEFINE(run)
 };
 
+/// Reply to a transaction of `ClaimWriter`. `relay_failed` when the relay was
+/// lost, which says nothing about the platform.
+struct ClaimWritten {
+  uint64_t tag = 0;
+  PlatformReply reply;
+  bool relay_failed = false;
+  MSGPACK_DEFINE(tag, reply, relay_failed)
+};
+
 }  // namespace buckthorncart
--- a/Source/Kernel/directory.h
+++ b/Source/Kernel/directory.h
@@ -15,6 +15,7 @@
 
 namespace buckthorncart {
 
+class ClaimWriter;
 class CrashRegister;
 class PlatformQueue;
 
@@ -38,6 +39,8 @@
   uint32_t active_runs = 0;
   /// Requests of callers without a complete answer (receiving).
   uint32_t active_calls = 0;
+  /// Transactions on claims go through here (claim relay).
+  ClaimWriter* claim_writer = nullptr;
   /// Last use of the connection to a peer for calls (receiving, admission,
   /// claims).
   std::map<Address, Time> peers_used;
--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -178,7 +178,8 @@
                  BackendAnswered, OperatorRequested, OperatorLeft,
                  ShutdownRequested, ConfigurationAdopted, HeadObserved,
                  MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted,
-                 ClaimWanted, ClaimGranted, ClaimDenied, ClaimUnused>;
+                 ClaimWanted, ClaimGranted, ClaimDenied, ClaimUnused,
+                 ClaimWritten>;
 
 }  // namespace buckthorncart
 
--- a/Source/Net/peer_transport.cc
+++ b/Source/Net/peer_transport.cc
@@ -24,7 +24,9 @@
          !std::holds_alternative<CancelCall>(message) &&
          !std::holds_alternative<ClaimQuery>(message) &&
          !std::holds_alternative<ClaimReport>(message) &&
-         !std::holds_alternative<OutcomeQuery>(message);
+         !std::holds_alternative<OutcomeQuery>(message) &&
+         !std::holds_alternative<RelayedWrite>(message) &&
+         !std::holds_alternative<RelayedReply>(message);
 }
 
 void DisableNagle(lws* wsi) {
--- /dev/null
+++ b/Source/Plugins/claim_relay_inl.h
@@ -0,0 +1,235 @@
+#pragma once
+/// \file
+/// Definitions of `ClaimRelay`; include claim_relay.h.
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/digest.h"
+#include "Kernel/context.h"
+#include "Kernel/platform_queue.h"
+#include "Plugins/claim_relay.h"
+
+namespace buckthorncart {
+
+/// Shortest time between two batches of one relay.
+inline constexpr Duration kClaimBatchInterval = 10ms;
+/// Time beyond the platform timeout after which a relay is taken as lost.
+inline constexpr Duration kRelayMargin = 200ms;
+inline constexpr size_t kMaxBatchParts = 64;
+/// Transactions that wait at one relay.
+inline constexpr size_t kMaxWaitingParts = 8'192;
+
+template <ClaimRelayRules Rules>
+void ClaimRelay<Rules>::Attach(Context& ctx) {
+  ctx.Shared().claim_writer = this;
+  ctx.AllMetrics().Add(&counters_);
+}
+
+template <ClaimRelayRules Rules>
+void ClaimRelay<Rules>::Handle(Context& ctx, const Event& event) {
+  if (const auto* replied = std::get_if<PlatformReplied>(&event)) {
+    HandleReply(ctx, *replied);
+  } else if (const auto* lost = std::get_if<PeerConnectionLost>(&event)) {
+    HandlePeerLost(ctx, lost->peer);
+  } else if (const auto* message = std::get_if<PeerMessageReceived>(&event)) {
+    if (const auto* write = std::get_if<RelayedWrite>(&message->message)) {
+      Enqueue(ctx, {message->from, write->tag, write->transaction});
+    } else if (const auto* reply =
+                   std::get_if<RelayedReply>(&message->message)) {
+      if (relayed_.erase(reply->tag) == 0) return;
+      ctx.Raise(ClaimWritten{reply->tag, reply->reply, false});
+    }
+  } else if (const auto* timer = std::get_if<TimerFired>(&event)) {
+    if (timer->kind == TimerKind::kClaimBatch) {
+      timer_set_ = false;
+      Flush(ctx);
+    } else if (timer->kind == TimerKind::kClaimRetry) {
+      FailRelayed(ctx, timer->argument);
+    }
+  }
+}
+
+template <ClaimRelayRules Rules>
+std::optional<uint64_t> ClaimRelay<Rules>::Write(Context& ctx,
+                                                 Transaction transaction,
+                                                 bool direct) {
+  const uint64_t tag = ++next_tag_;
+  const Address self = ctx.Settings().self;
+  if (direct || !Rules::kRelay) {
+    const auto platform_tag = ctx.Shared().platform->Submit(
+        ctx, PlatformPriority::kClaim, transaction);
+    if (!platform_tag) return std::nullopt;
+    batches_[*platform_tag] = {{{self, tag, std::move(transaction)}}, true};
+    return tag;
+  }
+  const Address relay = RelayOf(ctx, transaction.writes.front().key);
+  if (relay == self) {
+    Enqueue(ctx, {self, tag, std::move(transaction)});
+    return tag;
+  }
+  counters_.Add(ClaimRelayCounter::kRelayed);
+  relayed_[tag] = relay;
+  ctx.Shared().peers_used[relay] = ctx.Now();
+  ctx.SetTimerIn(std::chrono::milliseconds(ctx.Settings().platform_timeout_ms) +
+                     kRelayMargin,
+                 TimerKind::kClaimRetry, tag);
+  ctx.Send(relay, RelayedWrite{tag, std::move(transaction)});
+  return tag;
+}
+
+template <ClaimRelayRules Rules>
+Address ClaimRelay<Rules>::RelayOf(Context& ctx, const std::string& row_key) {
+  const uint64_t bucket = DigestOf(row_key) % Rules::kBuckets;
+  Address best = ctx.Settings().self;
+  uint64_t best_weight = RendezvousWeight(bucket, AddressHash{}(best));
+  for (const auto& [address, member] : ctx.Shared().members) {
+    if (member.status != MemberStatus::kAlive) continue;
+    if (member.data_centre != ctx.Settings().data_centre) continue;
+    const uint64_t weight = RendezvousWeight(bucket, AddressHash{}(address));
+    if (weight <= best_weight) continue;
+    best = address;
+    best_weight = weight;
+  }
+  return best;
+}
+
+template <ClaimRelayRules Rules>
+void ClaimRelay<Rules>::Enqueue(Context& ctx, Part part) {
+  if (waiting_.size() >= kMaxWaitingParts) {
+    Reply(ctx, part, {PlatformStatus::kUnavailable, {}, {}});
+    return;
+  }
+  waiting_.push_back(std::move(part));
+  Flush(ctx);
+}
+
+template <ClaimRelayRules Rules>
+void ClaimRelay<Rules>::Flush(Context& ctx) {
+  if (busy_ || waiting_.empty()) return;
+  if (ctx.Now() < next_batch_) {
+    if (std::exchange(timer_set_, true)) return;
+    ctx.SetTimerIn(next_batch_ - ctx.Now(), TimerKind::kClaimBatch);
+    return;
+  }
+  std::vector<Part> parts = TakeParts();
+  Transaction joined;
+  for (const Part& part : parts) {
+    const auto& [conditions, writes] = part.transaction;
+    joined.conditions.insert(joined.conditions.end(), conditions.begin(),
+                             conditions.end());
+    joined.writes.insert(joined.writes.end(), writes.begin(), writes.end());
+  }
+  const auto tag = ctx.Shared().platform->Submit(ctx, PlatformPriority::kClaim,
+                                                 std::move(joined));
+  next_batch_ = ctx.Now() + kClaimBatchInterval;
+  if (!tag) {
+    for (const Part& part : parts) {
+      Reply(ctx, part, {PlatformStatus::kUnavailable, {}, {}});
+    }
+    return;
+  }
+  counters_.Add(ClaimRelayCounter::kBatches);
+  counters_.Add(ClaimRelayCounter::kBatched, parts.size());
+  busy_ = true;
+  batches_[*tag] = {std::move(parts), false};
+}
+
+template <ClaimRelayRules Rules>
+std::vector<typename ClaimRelay<Rules>::Part> ClaimRelay<Rules>::TakeParts() {
+  std::vector<Part> parts;
+  std::deque<Part> left;
+  std::set<std::string> keys;
+  for (Part& part : waiting_) {
+    // Two transactions on one row cannot share a batch.
+    const bool fits = parts.size() < kMaxBatchParts &&
+                      keys.insert(part.transaction.writes.front().key).second;
+    if (fits) {
+      parts.push_back(std::move(part));
+    } else {
+      left.push_back(std::move(part));
+    }
+  }
+  waiting_ = std::move(left);
+  return parts;
+}
+
+template <ClaimRelayRules Rules>
+void ClaimRelay<Rules>::HandleReply(Context& ctx,
+                                    const PlatformReplied& replied) {
+  const auto it = batches_.find(replied.tag);
+  if (it == batches_.end()) return;
+  Batch batch = std::move(it->second);
+  batches_.erase(it);
+  if (!batch.direct) busy_ = false;
+  const bool split = replied.reply.status == PlatformStatus::kConditionFailed;
+  if (split && batch.parts.size() > 1) {
+    Split(ctx, std::move(batch.parts), replied.reply);
+  } else {
+    for (const Part& part : batch.parts) Reply(ctx, part, replied.reply);
+  }
+  const bool failed = replied.reply.status == PlatformStatus::kUnavailable ||
+                      replied.reply.status == PlatformStatus::kUnknown;
+  // Those that wait would each meet the same timeout.
+  if (failed && !batch.direct) RefuseWaiting(ctx);
+  Flush(ctx);
+}
+
+template <ClaimRelayRules Rules>
+void ClaimRelay<Rules>::RefuseWaiting(Context& ctx) {
+  for (const Part& part : std::exchange(waiting_, {})) {
+    Reply(ctx, part, {PlatformStatus::kUnavailable, {}, {}});
+  }
+}
+
+template <ClaimRelayRules Rules>
+void ClaimRelay<Rules>::Split(Context& ctx, std::vector<Part> parts,
+                              const PlatformReply& reply) {
+  counters_.Add(ClaimRelayCounter::kSplit);
+  const auto holds = [&reply](const Condition& condition) {
+    const auto it = reply.rows.find(condition.key);
+    if (it == reply.rows.end()) return !condition.value.has_value();
+    return condition.value == it->second;
+  };
+  for (Part& part : parts) {
+    const auto& conditions = part.transaction.conditions;
+    if (std::all_of(conditions.begin(), conditions.end(), holds)) {
+      waiting_.push_front(std::move(part));
+      continue;
+    }
+    PlatformReply own{PlatformStatus::kConditionFailed, {}, {}};
+    for (const Condition& condition : conditions) {
+      const auto it = reply.rows.find(condition.key);
+      if (it != reply.rows.end()) own.rows.insert(*it);
+    }
+    Reply(ctx, part, std::move(own));
+  }
+}
+
+template <ClaimRelayRules Rules>
+void ClaimRelay<Rules>::Reply(Context& ctx, const Part& part,
+                              PlatformReply reply) {
+  if (part.from == ctx.Settings().self) {
+    ctx.Raise(ClaimWritten{part.tag, std::move(reply), false});
+    return;
+  }
+  ctx.Send(part.from, RelayedReply{part.tag, std::move(reply)});
+}
+
+template <ClaimRelayRules Rules>
+void ClaimRelay<Rules>::HandlePeerLost(Context& ctx, Address peer) {
+  std::vector<uint64_t> tags;
+  for (const auto& [tag, relay] : relayed_) {
+    if (relay == peer) tags.push_back(tag);
+  }
+  for (const uint64_t tag : tags) FailRelayed(ctx, tag);
+}
+
+template <ClaimRelayRules Rules>
+void ClaimRelay<Rules>::FailRelayed(Context& ctx, uint64_t tag) {
+  if (relayed_.erase(tag) == 0) return;
+  counters_.Add(ClaimRelayCounter::kRelayFailed);
+  ctx.Raise(ClaimWritten{tag, {PlatformStatus::kUnknown, {}, {}}, true});
+}
+
+}  // namespace buckthorncart
--- a/Source/Plugins/claims.h
+++ b/Source/Plugins/claims.h
@@ -94,7 +94,7 @@
   void Join(Context& ctx, Claim& claim, const ClaimWanted& wanted,
             uint64_t fingerprint);
   void Write(Context& ctx, Claim& claim);
-  void HandleReply(Context& ctx, const PlatformReplied& replied);
+  void HandleReply(Context& ctx, const ClaimWritten& replied);
   void HandleInsertReply(Context& ctx, Claim& claim,
                          const PlatformReply& reply);
   void HandleLostAnswer(Context& ctx, Claim& claim);
--- a/Source/Plugins/claims_inl.h
+++ b/Source/Plugins/claims_inl.h
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "Base/overload.h"
-#include "Kernel/platform_queue.h"
+#include "Kernel/claim_writer.h"
 #include "Plugins/claim_reply.h"
 #include "Plugins/claims.h"
 #include "Wire/codec.h"
@@ -42,7 +42,7 @@
       Overload{
           [&](const ClaimWanted& e) { HandleWanted(ctx, e); },
           [&](const ClaimUnused& e) { HandleUnused(ctx, e.run); },
-          [&](const PlatformReplied& e) { HandleReply(ctx, e); },
+          [&](const ClaimWritten& e) { HandleReply(ctx, e); },
           [&](const BackendAnswered& e) { HandleAnswer(ctx, e); },
           [&](const PeerConnectionLost& e) { HandlePeerLost(ctx, e.peer); },
           [&](const PeerMessageReceived& e) {
@@ -141,8 +141,8 @@
   }
   transaction.writes = {{claim.row_key, Encode(claim.row)}};
   counters_.Add(ClaimCounter::kWrites);
-  const auto tag = ctx.Shared().platform->Submit(ctx, PlatformPriority::kClaim,
-                                                 std::move(transaction));
+  const auto tag = ctx.Shared().claim_writer->Write(ctx, std::move(transaction),
+                                                    claim.settles > 0);
   if (tag) {
     run_of_tag_[*tag] = claim.run;
     return;
@@ -152,16 +152,16 @@
 }
 
 template <ClaimRules Rules>
-void Claims<Rules>::HandleReply(Context& ctx, const PlatformReplied& replied) {
+void Claims<Rules>::HandleReply(Context& ctx, const ClaimWritten& replied) {
   const PlatformStatus status = replied.reply.status;
   const bool failed = status == PlatformStatus::kUnavailable ||
                       status == PlatformStatus::kUnknown;
   const auto pending = pending_tags_.find(replied.tag);
   const auto tag = run_of_tag_.find(replied.tag);
   if (pending == pending_tags_.end() && tag == run_of_tag_.end()) return;
-  if (failed) {
+  if (failed && !replied.relay_failed) {
     circuit_.NoteFailure(ctx.Now());
-  } else {
+  } else if (!failed) {
     circuit_.NoteSuccess();
   }
   if (pending != pending_tags_.end()) {
@@ -545,8 +545,8 @@
   const size_t batch = circuit_.IsOpen() ? 1 : kPendingBatch;
   for (size_t i = 0; i < batch && !pending_.empty(); ++i) {
     if (!circuit_.Allow(ctx.Now())) return;
-    const auto tag = ctx.Shared().platform->Submit(
-        ctx, PlatformPriority::kClaim, pending_.front());
+    const auto tag =
+        ctx.Shared().claim_writer->Write(ctx, pending_.front(), false);
     if (!tag) {
       circuit_.NoteFailure(ctx.Now());
       return;
--- a/Source/Wire/claim_messages.h
+++ b/Source/Wire/claim_messages.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "Base/address.h"
+#include "Platform/platform_messages.h"
 #include "Wire/http.h"
 
 namespace buckthorncart {
@@ -78,6 +79,20 @@
   MSGPACK_DEFINE(fingerprint, daemon, cleared)
 };
 
+/// A transaction on claim rows for the relay of their key.
+struct RelayedWrite {
+  /// Unique among the writes of the sender's incarnation.
+  uint64_t tag = 0;
+  Transaction transaction;
+  MSGPACK_DEFINE(tag, transaction)
+};
+
+struct RelayedReply {
+  uint64_t tag = 0;
+  PlatformReply reply;
+  MSGPACK_DEFINE(tag, reply)
+};
+
 }  // namespace buckthorncart
 
 MSGPACK_ADD_ENUM(buckthorncart::ClaimOutcome)
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -165,7 +165,8 @@
                  SnapshotBusy, VersionHeld, FloorQuery, FloorReport,
                  PullMembers, PushMembers, Call, CallRefused, CallAnswer,
                  CallFailed, CancelCall, OperatorQuery, OperatorReply,
-                 ClaimQuery, ClaimReport, OutcomeQuery, CrashReport>;
+                 ClaimQuery, ClaimReport, OutcomeQuery, CrashReport,
+                 RelayedWrite, RelayedReply>;
 
 }  // namespace buckthorncart
 
