--- a/Source/Kernel/directory.h
+++ b/Source/Kernel/directory.h
@@ -16,6 +16,7 @@
 
 namespace buckthorncart {
 
+class ClaimWriter;
 class CrashRegister;
 class PlatformQueue;
 
@@ -43,6 +44,8 @@
   uint32_t active_calls = 0;
   /// Runs by the daemon that sent the call and the call's id (admission).
   const std::map<std::pair<Address, uint64_t>, uint64_t>* run_of_call = nullptr;
+  /// Transactions on claims go through here (claim relay).
+  ClaimWriter* claim_writer = nullptr;
   /// Last use of the connection to a peer for calls (receiving, admission,
   /// claims).
   std::map<Address, Time> peers_used;
--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -187,7 +187,7 @@
                  ShutdownRequested, ConfigurationAdopted, HeadObserved,
                  MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted,
                  CallerDrained, ClaimWanted, ClaimGranted, ClaimDenied,
-                 ClaimUnused>;
+                 ClaimUnused, ClaimWritten>;
 
 }  // namespace buckthorncart
 
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -181,7 +181,7 @@
                  PullMembers, PushMembers, Call, CallRefused, CallAnswer,
                  CallFailed, CancelCall, OperatorQuery, OperatorReply,
                  CallCredit, ClaimQuery, ClaimReport, OutcomeQuery,
-                 CrashReport>;
+                 CrashReport, RelayedWrite, RelayedReply>;
 
 }  // namespace buckthorncart
 
