Report service-level burn and answer queries about other places

Cause: objectives were part of a service but nothing counted against them, and `show … at` answered for the daemon that was asked, whatever the place.

Receiving raises CallEnded for every routed call. QueryGather asks several daemons one query; a daemon without a reply is named as missing. ChangePreview tells what a change would do for each object.

`--header-limit` is new.

whole_path_test: the case of an address in use gave the same address to two flags, which is now a usage error; it takes two addresses of a running daemon instead and expects the same status 1.

--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -7,11 +7,24 @@
 
 #include "Base/version.h"
 #include "Config/value_parsers.h"
+#include "Daemon/address_check.h"
+#include "Net/loop.h"
 
 namespace buckthorncart {
 namespace {
 
 constexpr int kUsageStatus = 2;
+constexpr const char* kFooter =
+    "\nA flag goes before its environment variable (Env).\n"
+    "\n"
+    "Signals:\n"
+    "  SIGTERM, SIGINT  drain: admit no more work, end what is in flight, "
+    "exit 0\n"
+    "\n"
+    "Exit statuses:\n"
+    "  0  drained, or --check found no fault\n"
+    "  1  could not start: an address in use, a trace that cannot be written\n"
+    "  2  usage: a flag, variable or value that is not valid\n";
 constexpr std::string_view kEnvironmentPrefix = "BUCKTHORNCART_";
 constexpr std::string_view kMemoryPlatform = "memory:";
 constexpr std::string_view kHttpPlatform = "http://";
@@ -25,6 +38,23 @@
   return name;
 }
 
+/// Unit of a number, by the end of its flag's name.
+std::string UnitOf(const std::string& flag) {
+  if (flag.ends_with("-ms")) return "MS";
+  if (flag.ends_with("-percent")) return "PERCENT";
+  if (flag == "--body-limit" || flag == "--header-limit") return "BYTES";
+  return "COUNT";
+}
+
+/// Form of a text, by the flag's name.
+std::string FormOf(const std::string& flag) {
+  if (flag == "--platform") return "URL";
+  if (flag == "--trace") return "FILE";
+  if (flag == "--data-centre" || flag == "--spreading") return "NAME";
+  if (flag.starts_with("--log-")) return "NAME";
+  return "IP:PORT";
+}
+
 /// Values that need parsing beyond what the command-line library does.
 struct RawSettings {
   std::string peer_address;
@@ -59,20 +89,30 @@
                                const std::string& text) const;
 
   CLI::App app_{"buckthorncartd, the daemon beside each backend server"};
+  /// Heading in --help of the flags that are being added.
+  std::string group_;
   RawSettings raw_;
   DaemonSettings settings_;
   uint32_t fd_limit_ = 4'096;
   uint32_t body_limit_ = 1U << 20U;
+  uint32_t header_limit_ = kDefaultHeaderBytes;
   uint32_t connection_limit_ = 2'048;
 };
 
 SettingsParser::SettingsParser() {
   app_.set_version_flag("--version", std::string(kVersion));
+  app_.footer(kFooter);
+  group_ = "Addresses";
   AddAddresses();
+  group_ = "Configuration";
   AddConfiguration();
+  group_ = "Membership";
   AddMembership();
+  group_ = "Requests";
   AddRequests();
+  group_ = "Platform";
   AddPlatform();
+  group_ = "Process";
   AddProcess();
 }
 
@@ -80,6 +120,9 @@
                              const std::string& help, bool required) {
   CLI::Option* option = app_.add_option(flag, target, help);
   option->envname(EnvironmentName(flag));
+  const bool no_default = target.empty() && !required;
+  option->type_name(FormOf(flag) + (no_default ? " [none]" : ""));
+  option->group(group_);
   if (required) {
     option->required();
   } else {
@@ -92,6 +135,8 @@
                                const std::string& help) {
   app_.add_option(flag, target, help)
       ->envname(EnvironmentName(flag))
+      ->type_name(UnitOf(flag))
+      ->group(group_)
       ->check(CLI::Range(low, high))
       ->capture_default_str();
 }
@@ -109,6 +154,8 @@
   app_.add_option("--peer", raw_.peers,
                   "IP:PORT of other daemons, separated by commas")
       ->delimiter(',')
+      ->type_name("IP:PORT [none]")
+      ->group(group_)
       ->envname(EnvironmentName("--peer"));
 }
 
@@ -152,6 +199,8 @@
             "time until a new backend server takes a full share, ms");
   AddNumber("--body-limit", body_limit_, 0, 64U << 20U,
             "largest request body, bytes");
+  AddNumber("--header-limit", header_limit_, 1'024, 60'000,
+            "largest head of a request, bytes");
   AddNumber("--connection-limit", connection_limit_, 1, 65'536,
             "connections of callers");
 }
@@ -173,7 +222,9 @@
   AddText("--log-level", raw_.log_level, "lowest level: " + NamesOf<LogLevel>(),
           false);
   AddNumber("--fd-limit", fd_limit_, 64, 65'536, "open file descriptors");
-  app_.add_flag("--check", settings_.check, "check the settings and exit");
+  app_.add_flag("--check", settings_.check,
+                "check the settings and that the addresses belong to this VM, "
+                "and exit");
 }
 
 Result<Address> SettingsParser::ParseAddress(const std::string& flag,
@@ -229,11 +280,13 @@
     settings_.platform = *address;
   }
   settings_.fd_limit = static_cast<int>(fd_limit_);
+  settings_.header_bytes = header_limit_;
   settings_.driver.limits.body_bytes = body_limit_;
   settings_.driver.limits.connections = connection_limit_;
   settings_.kernel.seed = std::random_device{}();
-  Result<void> named =
-      ParseName("--spreading", raw_.spreading, settings_.kernel.spreading);
+  Result<void> named = CheckAddressesDiffer(settings_);
+  if (!named) return named;
+  named = ParseName("--spreading", raw_.spreading, settings_.kernel.spreading);
   if (named) {
     named = ParseName("--log-format", raw_.log_format, settings_.log_format);
   }
@@ -251,9 +304,11 @@
       app_.exit(error);
       return {{}, true, 0};
     }
-    const Failure failure{Errc::kInvalidSetting, error.what(),
-                          "flags and values as --help lists them",
-                          "run buckthorncartd --help"};
+    const Failure failure{
+        Errc::kInvalidSetting, error.what(),
+        "flags, BUCKTHORNCART_ variables and values as --help lists "
+        "them",
+        "run buckthorncartd --help"};
     std::cerr << "buckthorncartd: " << failure.Describe() << '\n';
     return {{}, true, kUsageStatus};
   }
--- a/Source/Daemon/main.cc
+++ b/Source/Daemon/main.cc
@@ -4,8 +4,10 @@
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "Base/version.h"
+#include "Daemon/address_check.h"
 #include "Daemon/daemon_settings.h"
 #include "Kernel/kernel.h"
 #include "Kernel/plugin_registry.h"
@@ -20,6 +22,7 @@
 namespace {
 
 constexpr int kFailureStatus = 1;
+constexpr int kUsageStatus = 2;
 
 int Report(Loop& loop, const Failure& failure) {
   loop.Close();
@@ -27,16 +30,35 @@
   return kFailureStatus;
 }
 
+/// Tells at the start that the platform cannot be reached; the daemon goes on
+/// and is not ready until a floor is known.
+void WarnIfUnreachable(const LogSink& log, Address platform,
+                       PlatformStatus status) {
+  if (status != PlatformStatus::kUnavailable &&
+      status != PlatformStatus::kUnknown) {
+    return;
+  }
+  log.Write({LogTopic::kPlatformState,
+             {{"state", "unreachable"},
+              {"setting", "--platform http://" + platform.ToString()},
+              {"expected", "the address of the running platform"},
+              {"advice", "correct --platform or start the platform"}},
+             LogLevel::kWarning});
+}
+
 /// Runs the daemon on one of the platform adapters until it has drained.
 int RunDaemon(const DaemonSettings& settings) {
-  Loop loop(settings.fd_limit);
+  Loop loop(settings.fd_limit, settings.header_bytes);
   const LogSink log(settings.log_format, settings.log_level);
   Kernel kernel(settings.kernel,
                 PluginRegistry::Instance().CreateAll(settings.kernel));
   LoopDriver driver(loop, settings.driver, kernel, Loop::WallMilliseconds(),
                     log);
-  const PlatformReplyHandler on_reply = [&driver](uint64_t tag,
-                                                  PlatformReply reply) {
+  bool platform_heard = false;
+  const PlatformReplyHandler on_reply = [&](uint64_t tag, PlatformReply reply) {
+    if (!std::exchange(platform_heard, true)) {
+      WarnIfUnreachable(log, settings.platform, reply.status);
+    }
     driver.Dispatch(PlatformReplied{tag, std::move(reply)});
   };
   MemoryPlatform memory(loop, on_reply);
@@ -51,7 +73,11 @@
   }
   if (!settings.trace_path.empty()) {
     auto trace = TraceWriter::Open(settings.trace_path, settings.kernel);
-    if (!trace) return Report(loop, trace.error());
+    if (!trace) {
+      Failure failure = trace.error();
+      failure.subject = "--trace " + settings.trace_path;
+      return Report(loop, failure);
+    }
     driver.RecordTo(std::move(*trace));
   }
   const Result<void> opened = driver.Open();
@@ -68,6 +94,17 @@
   return 0;
 }
 
+/// Exit status of `--check`.
+int CheckSettings(const DaemonSettings& settings) {
+  const Result<void> checked = CheckAddressesBelongHere(settings);
+  if (!checked) {
+    std::cerr << "buckthorncartd: " << checked.error().Describe() << '\n';
+    return kUsageStatus;
+  }
+  std::cout << "settings are valid\n";
+  return 0;
+}
+
 }  // namespace
 }  // namespace buckthorncart
 
@@ -75,8 +112,7 @@
   const auto parsed = buckthorncart::ParseDaemonSettings(argc, argv);
   if (parsed.exit) return parsed.exit_status;
   if (parsed.settings.check) {
-    std::cout << "settings are valid\n";
-    return 0;
+    return buckthorncart::CheckSettings(parsed.settings);
   }
   return buckthorncart::RunDaemon(parsed.settings);
 }
--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -171,12 +171,24 @@
   MSGPACK_DEFINE()
 };
 
+/// A call that reached a route has ended.
+struct CallEnded {
+  std::string service;
+  Outcome outcome = Outcome::kRan;
+  /// From the arrival of the request to the end of its answer, microseconds.
+  uint64_t latency_us = 0;
+  /// The caller ended the call, so that it says nothing about the service.
+  bool caller_fault = false;
+  MSGPACK_DEFINE(service, outcome, latency_us, caller_fault)
+};
+
 using Event =
     std::variant<Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
                  DatagramReceived, PlatformReplied, CallerRequested, CallerLeft,
                  BackendAnswered, OperatorRequested, OperatorLeft,
                  ShutdownRequested, ConfigurationAdopted, HeadObserved,
-                 MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted>;
+                 MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted,
+                 CallEnded>;
 
 }  // namespace buckthorncart
 
--- /dev/null
+++ b/Source/Kernel/metric_help.cc
@@ -0,0 +1,113 @@
+#include "Kernel/metric_help.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace buckthorncart {
+namespace {
+
+struct Entry {
+  std::string_view name;
+  std::string_view help;
+};
+
+constexpr Entry kEntries[] = {
+    {"calls_total", "Requests of callers, calls."},
+    {"call_attempts_total", "Calls handed to an admitting daemon, attempts."},
+    {"calls_ran_total", "Calls answered by a backend server, calls."},
+    {"calls_not_run_total", "Calls refused with outcome not-run, calls."},
+    {"calls_unknown_total", "Calls answered with outcome unknown, calls."},
+    {"call_retries_total", "Attempts after the first one, attempts."},
+    {"callers_left_total", "Calls whose caller left early, calls."},
+    {"calls_active", "Calls without a complete answer, calls."},
+    {"ejections_total", "Backend servers taken out of choice, ejections."},
+    {"admission_runs_total", "Calls begun on the backend server, calls."},
+    {"admission_refused_total", "Calls refused by this daemon, calls."},
+    {"admission_queued_total", "Calls that waited for a slot, calls."},
+    {"admission_expired_in_queue_total",
+     "Calls whose deadline passed in the queue, calls."},
+    {"admission_completed_total", "Runs whose answer was whole, calls."},
+    {"admission_broken_total", "Runs whose answer was cut, calls."},
+    {"admission_cancelled_total", "Runs cancelled for their caller, calls."},
+    {"admission_slots_in_use", "Slots of the backend server in use, slots."},
+    {"admission_queue_length", "Calls that wait for a slot, calls."},
+    {"objective_calls_total", "Calls counted against objectives, calls."},
+    {"objective_failures_total",
+     "Counted calls with outcome unknown or not-run, calls."},
+    {"objective_slow_calls_total",
+     "Counted calls over the latency objective, calls."},
+    {"objective_excluded_calls_total",
+     "Routed calls not counted: ended by their caller or of a deleted service, "
+     "calls."},
+    {"configuration_version", "Version that is held, version number."},
+    {"configuration_floor_known",
+     "1 when the held version may be served, 0 otherwise."},
+    {"configuration_head_reads_total", "Reads of the row head, reads."},
+    {"configuration_hints_sent_total", "Versions told to peers, messages."},
+    {"configuration_pulls_sent_total", "Changes asked of peers, messages."},
+    {"configuration_pulls_served_total", "Answers to pulls, messages."},
+    {"configuration_pushes_sent_total", "Changes sent unasked, messages."},
+    {"configuration_platform_catch_ups_total",
+     "Catch-ups from the platform, catch-ups."},
+    {"configuration_snapshots_served_total", "Snapshots sent, snapshots."},
+    {"configuration_snapshots_refused_total",
+     "Snapshots refused as busy, snapshots."},
+    {"configuration_stale_ignored_total",
+     "Changes below the held version, changes."},
+    {"configuration_versions_held_back_total",
+     "Versions that failed digest or validation, versions."},
+    {"configuration_versions_taken_total", "Versions adopted, versions."},
+    {"operations_accepted_total", "Changes accepted here, operations."},
+    {"operations_refused_total", "Changes refused here, operations."},
+    {"operations_undecided_total", "Changes left undecided, operations."},
+    {"operations_rebased_total",
+     "Changes rebased on a newer version, operations."},
+    {"operations_answers_lost_total",
+     "Transactions whose answer was lost, transactions."},
+    {"members", "Known daemons besides this one, daemons."},
+    {"membership_probes_total", "Probes sent, datagrams."},
+    {"membership_probes_unanswered_total",
+     "Probes without an answer, datagrams."},
+    {"membership_suspicions_total", "Daemons suspected, suspicions."},
+    {"membership_refutations_total",
+     "Suspicions of this daemon denied, refutations."},
+    {"membership_members_gone_total", "Daemons taken as gone, daemons."},
+    {"membership_full_pulls_total", "Whole member lists asked for, messages."},
+    {"platform_requests_total", "Requests to the platform, requests."},
+    {"platform_unavailable_total",
+     "Requests that the platform did not carry out, requests."},
+    {"platform_unknown_total",
+     "Requests whose answer was lost or late, requests."},
+    {"platform_queue_full_total",
+     "Requests refused by the full queue, requests."},
+    {"platform_queue_length", "Requests that wait for the platform, requests."},
+    {"platform_available", "1 while the platform answers, 0 otherwise."},
+    {"peer_connections", "Open connections to daemons, connections."},
+    {"peer_sent_bytes_total", "Sent to daemons over TCP, bytes."},
+    {"peer_received_bytes_total", "Received from daemons over TCP, bytes."},
+    {"control_sent_bytes_total",
+     "Sent for configuration and membership over TCP and UDP, bytes."},
+    {"datagram_sent_bytes_total", "Sent over UDP, bytes."},
+    {"datagram_received_bytes_total", "Received over UDP, bytes."},
+    {"bad_frames_total", "Malformed, cut or oversized frames, frames."},
+};
+
+/// "queue_length" as "Queue length.".
+std::string FromWords(std::string_view name) {
+  std::string text(name);
+  if (text.ends_with("_total")) text.resize(text.size() - 6);
+  std::replace(text.begin(), text.end(), '_', ' ');
+  if (!text.empty()) text[0] = static_cast<char>(std::toupper(text[0]));
+  return text + ".";
+}
+
+}  // namespace
+
+std::string MetricHelp(std::string_view name) {
+  const auto* it =
+      std::find_if(std::begin(kEntries), std::end(kEntries),
+                   [name](const Entry& entry) { return entry.name == name; });
+  return it == std::end(kEntries) ? FromWords(name) : std::string(it->help);
+}
+
+}  // namespace buckthorncart
--- a/Source/Kernel/metrics.h
+++ b/Source/Kernel/metrics.h
@@ -29,12 +29,17 @@
   void AddGauge(std::string name, std::function<double()> read) {
     gauges_.emplace_back(std::move(name), std::move(read));
   }
+  /// A counter whose value is kept elsewhere; the name ends in `_total`.
+  void AddCounter(std::string name, std::function<uint64_t()> read) {
+    counters_.emplace_back(std::move(name), std::move(read));
+  }
   std::string PrometheusText() const;
   /// Value of the counter called `name`, 0 when there is none.
   uint64_t CounterByName(std::string_view name) const;
 
  private:
   std::vector<const CounterSource*> sources_;
+  std::vector<std::pair<std::string, std::function<uint64_t()>>> counters_;
   std::vector<std::pair<std::string, std::function<double()>>> gauges_;
 };
 
--- a/Source/Net/loop.cc
+++ b/Source/Net/loop.cc
@@ -17,7 +17,6 @@
 /// Deadlines are the kernel's; the library's own limit only catches leaks.
 constexpr unsigned kLibraryTimeoutSeconds = 4'000;
 constexpr unsigned kConnectTimeoutSeconds = 3;
-constexpr unsigned short kMaxHeaderBytes = 16'384;
 constexpr unsigned kServiceBufferBytes = 65'536;
 
 volatile std::sig_atomic_t g_shutdown_requested = 0;
@@ -54,14 +53,14 @@
 
 }  // namespace
 
-Loop::Loop(int fd_limit) {
+Loop::Loop(int fd_limit, uint32_t header_bytes) {
   lws_set_log_level(0, nullptr);
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.protocols = kNoProtocols;
   info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
   info.fd_limit_per_thread = static_cast<unsigned>(fd_limit);
-  info.max_http_header_data = kMaxHeaderBytes;
+  info.max_http_header_data = static_cast<unsigned short>(header_bytes);
   info.pt_serv_buf_size = kServiceBufferBytes;
   context_ = lws_create_context(&info);
   timer_.loop = this;
--- a/Source/Net/loop.h
+++ b/Source/Net/loop.h
@@ -17,10 +17,13 @@
 
 /// Owns the libwebsockets context. Everything runs on the thread that calls
 /// `Run`.
+/// Largest head of an HTTP request, bytes.
+inline constexpr uint32_t kDefaultHeaderBytes = 16'384;
+
 class Loop {
  public:
   /// `fd_limit` bounds the open descriptors; tables are sized by it.
-  explicit Loop(int fd_limit);
+  explicit Loop(int fd_limit, uint32_t header_bytes = kDefaultHeaderBytes);
   ~Loop();
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -69,26 +69,28 @@
       backend_(loop, [this](uint64_t run, AnswerPart part, BackendFault fault) {
         Dispatch(BackendAnswered{run, std::move(part), fault});
       }) {
-  AddGauges();
+  AddMetrics();
 }
 
 LoopDriver::~LoopDriver() = default;
 
-void LoopDriver::AddGauges() {
+void LoopDriver::AddMetrics() {
   Metrics& metrics = kernel_.GetContext().AllMetrics();
-  const auto add = [&metrics](const char* name,
-                              std::function<uint64_t()> read) {
-    metrics.AddGauge(
-        name, [read = std::move(read)] { return static_cast<double>(read()); });
-  };
-  add("peer_connections", [this] { return peers_.ConnectionCount(); });
-  add("peer_sent_bytes", [this] { return peers_.SentBytes(); });
-  add("peer_received_bytes", [this] { return peers_.ReceivedBytes(); });
-  add("control_sent_bytes",
-      [this] { return peers_.ControlSentBytes() + datagrams_.SentBytes(); });
-  add("datagram_sent_bytes", [this] { return datagrams_.SentBytes(); });
-  add("datagram_received_bytes", [this] { return datagrams_.ReceivedBytes(); });
-  add("bad_frames", [this] { return bad_frames_; });
+  metrics.AddGauge("peer_connections", [this] {
+    return static_cast<double>(peers_.ConnectionCount());
+  });
+  metrics.AddCounter("peer_sent_bytes_total",
+                     [this] { return peers_.SentBytes(); });
+  metrics.AddCounter("peer_received_bytes_total",
+                     [this] { return peers_.ReceivedBytes(); });
+  metrics.AddCounter("control_sent_bytes_total", [this] {
+    return peers_.ControlSentBytes() + datagrams_.SentBytes();
+  });
+  metrics.AddCounter("datagram_sent_bytes_total",
+                     [this] { return datagrams_.SentBytes(); });
+  metrics.AddCounter("datagram_received_bytes_total",
+                     [this] { return datagrams_.ReceivedBytes(); });
+  metrics.AddCounter("bad_frames_total", [this] { return bad_frames_; });
 }
 
 void LoopDriver::UsePlatform(PlatformSubmit platform) {
--- a/Source/Net/loop_driver.h
+++ b/Source/Net/loop_driver.h
@@ -67,7 +67,7 @@
   void Carry(AnswerOperator effect);
   void Carry(const LogChange& effect);
   void Carry(const Exit& effect);
-  void AddGauges();
+  void AddMetrics();
 
   Loop& loop_;
   DriverSettings settings_;
--- /dev/null
+++ b/Source/Plugins/burn_report.h
@@ -0,0 +1,45 @@
+#pragma once
+/// \file
+/// The report on service-level burn.
+
+#include <string>
+
+#include "Kernel/counters.h"
+#include "Kernel/plugin.h"
+#include "Plugins/burn_json.h"
+#include "Plugins/query_gather.h"
+
+namespace buckthorncart {
+
+enum class BurnCounter : uint8_t { kCalls, kFailures, kSlow, kExcluded };
+
+template <>
+struct EnumNames<BurnCounter> {
+  static constexpr std::string_view kNames[] = {
+      "objective_calls_total", "objective_failures_total",
+      "objective_slow_calls_total", "objective_excluded_calls_total"};
+};
+
+/// Serves `/v1/report/burn`: sums the counts of all live daemons and names
+/// those that did not answer. With `local=yes` it gives this daemon's counts.
+template <typename Policy = RollingWindow>
+class BurnReporter : public Plugin {
+ public:
+  void Attach(Context& ctx) override;
+  void Handle(Context& ctx, const Event& event) override;
+  bool HandleOperator(Context& ctx, const OperatorRequested& request) override;
+
+ private:
+  void Note(Context& ctx, const CallEnded& ended);
+  void Gather(Context& ctx, uint64_t request, const std::string& service);
+  static void Answer(Context& ctx, uint64_t request, const std::string& service,
+                     const GatheredReplies& gathered);
+
+  ServiceObjectives<Policy> objectives_;
+  QueryGather gather_{GatherOwner::kBurnReport};
+  Counters<BurnCounter> counters_;
+};
+
+}  // namespace buckthorncart
+
+#include "Plugins/burn_report_inl.h"
--- /dev/null
+++ b/Source/Plugins/burn_report_inl.h
@@ -0,0 +1,102 @@
+#pragma once
+/// \file
+/// Definitions of `BurnReporter`; include burn_report.h.
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "Kernel/context.h"
+#include "Kernel/url_query.h"
+#include "Plugins/burn_report.h"
+
+namespace buckthorncart {
+
+template <typename Policy>
+void BurnReporter<Policy>::Attach(Context& ctx) {
+  ctx.AllMetrics().Add(&counters_);
+}
+
+template <typename Policy>
+void BurnReporter<Policy>::Handle(Context& ctx, const Event& event) {
+  if (const auto* ended = std::get_if<CallEnded>(&event)) {
+    Note(ctx, *ended);
+    return;
+  }
+  if (std::holds_alternative<ConfigurationAdopted>(event)) {
+    objectives_.Prune(ctx);
+    return;
+  }
+  gather_.Handle(ctx, event);
+}
+
+template <typename Policy>
+void BurnReporter<Policy>::Note(Context& ctx, const CallEnded& ended) {
+  const BurnCounts counts = objectives_.Note(ctx, ended);
+  if (counts.calls == 0) counters_.Add(BurnCounter::kExcluded);
+  counters_.Add(BurnCounter::kCalls, counts.calls);
+  counters_.Add(BurnCounter::kFailures, counts.failures);
+  counters_.Add(BurnCounter::kSlow, counts.slow);
+}
+
+template <typename Policy>
+bool BurnReporter<Policy>::HandleOperator(Context& ctx,
+                                          const OperatorRequested& request) {
+  const Url url = ParseUrl(request.http.path);
+  if (url.path != "/v1/report/burn") return false;
+  if (url.Get("local") == "yes") {
+    ctx.AnswerJson(request.request, 200,
+                   EncodeBurnCounts(objectives_.Report(ctx.Now())));
+    return true;
+  }
+  const std::string service(url.Get("service"));
+  const auto& services = ctx.Shared().held->configuration.services;
+  if (!service.empty() && !services.contains(service)) {
+    ctx.AnswerFailure(
+        request.request, 404,
+        {Errc::kUnknownService, "service " + service, "a configured service",
+         "list them: buckthorncart show services"});
+    return true;
+  }
+  Gather(ctx, request.request, service);
+  return true;
+}
+
+template <typename Policy>
+void BurnReporter<Policy>::Gather(Context& ctx, uint64_t request,
+                                  const std::string& service) {
+  gather_.Begin(ctx, LiveDaemons(ctx),
+                {"GET", "/v1/report/burn?local=yes", {}, ""},
+                [request, service](Context& later, const auto& gathered) {
+                  Answer(later, request, service, gathered);
+                });
+}
+
+template <typename Policy>
+void BurnReporter<Policy>::Answer(Context& ctx, uint64_t request,
+                                  const std::string& service,
+                                  const GatheredReplies& gathered) {
+  std::map<std::string, BurnReport> sum;
+  std::vector<std::string> missing;
+  for (const Address daemon : gathered.missing) {
+    missing.push_back(daemon.ToString());
+  }
+  size_t answered = 0;
+  for (const auto& [daemon, reply] : gathered.replies) {
+    if (AddBurnCounts(reply.body, sum)) {
+      ++answered;
+    } else {
+      missing.push_back(daemon.ToString());
+    }
+  }
+  nlohmann::ordered_json rows = nlohmann::ordered_json::array();
+  for (const auto& [name, one] : ctx.Shared().held->configuration.services) {
+    if (!service.empty() && name != service) continue;
+    for (auto& row : BurnRows(one, sum[name])) rows.push_back(std::move(row));
+  }
+  const nlohmann::ordered_json body = {
+      {"daemons", answered}, {"missing", missing}, {"burn", std::move(rows)}};
+  ctx.AnswerJson(request, 200, body.dump() + "\n");
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Plugins/change_preview.cc
@@ -0,0 +1,112 @@
+#include "Plugins/change_preview.h"
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "Config/parser.h"
+#include "Kernel/context.h"
+#include "Kernel/plugin_registry.h"
+#include "Kernel/url_query.h"
+#include "Plugins/object_json.h"
+
+namespace buckthorncart {
+namespace {
+
+const PluginRegistration kRegistration(
+    PluginRank::kOperators, [](const KernelSettings& /*settings*/) {
+      return std::make_unique<ChangePreview>();
+    });
+
+using Json = nlohmann::ordered_json;
+
+/// Keys whose values differ between two objects; a side that lacks a key has
+/// null.
+Json DifferingKeys(const Json& before, const Json& after) {
+  Json list = Json::array();
+  std::set<std::string> keys;
+  for (const auto& [key, value] : before.items()) keys.insert(key);
+  for (const auto& [key, value] : after.items()) keys.insert(key);
+  for (const std::string& key : keys) {
+    if (key == "name") continue;
+    const Json from = before.value(key, Json());
+    const Json to = after.value(key, Json());
+    if (from == to) continue;
+    list.push_back({{"key", key}, {"from", from}, {"to", to}});
+  }
+  return list;
+}
+
+template <typename Object>
+void AddDifferences(const std::string& kind,
+                    const std::map<std::string, Object>& before,
+                    const std::map<std::string, Object>& after, Json& list) {
+  const auto add = [&](EditAction action, const std::string& name,
+                       const Json& from, const Json& to) {
+    list.push_back({{"action", NameOf(action)},
+                    {"object", kind + " " + name},
+                    {"changes", DifferingKeys(from, to)}});
+  };
+  for (const auto& [name, object] : before) {
+    const auto it = after.find(name);
+    if (it == after.end()) {
+      add(EditAction::kDelete, name, ToJson(object), Json::object());
+    } else if (!(it->second == object)) {
+      add(EditAction::kChange, name, ToJson(object), ToJson(it->second));
+    }
+  }
+  for (const auto& [name, object] : after) {
+    if (before.contains(name)) continue;
+    add(EditAction::kCreate, name, Json::object(), ToJson(object));
+  }
+}
+
+Result<Json> Preview(const Snapshot& held, const std::string& text) {
+  const auto statement = ParseStatement(text);
+  if (!statement) return tl::unexpected(statement.error());
+  const auto* change = std::get_if<ChangeStatement>(&*statement);
+  if (change == nullptr) {
+    return Fail(Errc::kSyntax, "statement", "create | change | delete",
+                "send queries to /v1/query");
+  }
+  const auto result = ApplyEdits(held.configuration, change->edits);
+  if (!result) return tl::unexpected(result.error());
+  Json differences = Json::array();
+  const Configuration& before = held.configuration;
+  AddDifferences("service", before.services, result->services, differences);
+  AddDifferences("route", before.routes, result->routes, differences);
+  AddDifferences("rule", before.rules, result->rules, differences);
+  return Json{{"result", "would-accept"},
+              {"base", held.version},
+              {"differences", std::move(differences)}};
+}
+
+}  // namespace
+
+void ChangePreview::Attach(Context& /*ctx*/) {}
+void ChangePreview::Handle(Context& /*ctx*/, const Event& /*event*/) {}
+
+bool ChangePreview::HandleOperator(Context& ctx,
+                                   const OperatorRequested& request) {
+  if (ParseUrl(request.http.path).path != "/v1/preview") return false;
+  if (!ctx.Shared().ready) {
+    ctx.AnswerFailure(
+        request.request, 503,
+        {Errc::kNotReady, "daemon " + ctx.Settings().self.ToString(),
+         "a daemon that holds the current configuration",
+         "wait, or use another daemon"});
+    return true;
+  }
+  const auto preview = Preview(*ctx.Shared().held, request.http.body);
+  if (preview) {
+    ctx.AnswerJson(request.request, 200, preview->dump() + "\n");
+  } else {
+    ctx.AnswerFailure(request.request, 400, preview.error());
+  }
+  return true;
+}
+
+}  // namespace buckthorncart
--- a/Source/Plugins/object_json.cc
+++ b/Source/Plugins/object_json.cc
@@ -1,6 +1,9 @@
 #include "Plugins/object_json.h"
 
 #include <algorithm>
+#include <string_view>
+
+#include "Config/value_parsers.h"
 
 namespace buckthorncart {
 namespace {
@@ -14,12 +17,52 @@
   return text;
 }
 
+constexpr std::string_view kLabelPrefix = "label.";
+
+/// Keys that a subject's rows can have, besides labels.
+struct SubjectKeys {
+  std::vector<std::string_view> keys;
+  bool labels = false;
+};
+
+SubjectKeys KeysOf(ShowSubject subject) {
+  switch (subject) {
+    case ShowSubject::kServices:
+      return {{"name", "availability", "latency", "latency-share"}, false};
+    case ShowSubject::kRoutes:
+      return {{"name", "path", "service", "class", "repeatable", "timeout"},
+              false};
+    case ShowSubject::kRules:
+      return {{"name", "service", "action", "class", "data-centre"}, true};
+    case ShowSubject::kDaemons:
+      break;
+  }
+  return {{"address", "vm", "data-centre", "status", "service",
+           "backend-server", "slots"},
+          true};
+}
+
+/// The value in the form in which rows show it: "1s" as "1000ms".
+std::string Canonical(const Assignment& condition) {
+  if (condition.key == "latency" || condition.key == "timeout") {
+    const auto ms = ParseMilliseconds(condition.value);
+    if (ms) return std::to_string(*ms) + "ms";
+  }
+  if (condition.key == "availability" || condition.key == "latency-share") {
+    const auto ppm = ParseShare(condition.value);
+    if (ppm) return ShareText(*ppm);
+  }
+  return condition.value;
+}
+
 bool Matches(const nlohmann::ordered_json& object,
              const std::vector<Assignment>& where) {
   return std::all_of(where.begin(), where.end(), [&object](const auto& a) {
     const auto it = object.find(a.key);
-    return it != object.end() && it->is_string() &&
-           it->template get<std::string>() == a.value;
+    if (it == object.end()) return false;
+    const std::string text =
+        it->is_string() ? it->template get<std::string>() : it->dump();
+    return text == Canonical(a);
   });
 }
 
@@ -59,10 +102,56 @@
                                 {"action", NameOf(rule.action)},
                                 {"class", rule.request_class},
                                 {"data-centre", rule.data_centre}};
-  for (const auto& [label, value] : rule.labels) row["label." + label] = value;
+  for (const auto& [label, value] : rule.labels) {
+    row[std::string(kLabelPrefix) + label] = value;
+  }
   return row;
 }
 
+nlohmann::ordered_json ToJson(const Member& member) {
+  nlohmann::ordered_json row = {
+      {"address", member.address.ToString()},
+      {"vm", member.address.IpString()},
+      {"data-centre", member.data_centre},
+      {"status", NameOf(member.status)},
+      {"service", member.backend.service},
+      {"backend-server", NameOf(member.backend.state)},
+      {"slots", member.backend.slots}};
+  for (const auto& [label, value] : member.backend.labels) {
+    row[std::string(kLabelPrefix) + label] = value;
+  }
+  return row;
+}
+
+Result<void> CheckConditions(const ShowStatement& show) {
+  const SubjectKeys known = KeysOf(show.subject);
+  for (const Assignment& condition : show.where) {
+    const auto& keys = known.keys;
+    if (std::find(keys.begin(), keys.end(), condition.key) != keys.end()) {
+      continue;
+    }
+    if (known.labels && condition.key.starts_with(kLabelPrefix)) continue;
+    std::string expected;
+    for (const std::string_view key : keys) {
+      expected += (expected.empty() ? "" : " | ") + std::string(key);
+    }
+    if (known.labels) expected += " | label.NAME";
+    return Fail(Errc::kInvalidValue, "condition on " + condition.key, expected,
+                "use a key of " + std::string(NameOf(show.subject)));
+  }
+  return {};
+}
+
+nlohmann::ordered_json ListMembers(const std::vector<Member>& members,
+                                   const ShowStatement& show) {
+  nlohmann::ordered_json list = nlohmann::ordered_json::array();
+  for (const Member& member : members) {
+    nlohmann::ordered_json row = ToJson(member);
+    if (Matches(row, show.where)) list.push_back(std::move(row));
+  }
+  return list;
+}
+
 nlohmann::ordered_json ListObjects(const Configuration& configuration,
                                    const ShowStatement& show) {
   switch (show.subject) {
--- a/Source/Plugins/object_json.h
+++ b/Source/Plugins/object_json.h
@@ -1,20 +1,32 @@
 #pragma once
 /// \file
-/// Configured objects as JSON, as `show` lists them.
+/// Configured objects and daemons as JSON, as `show` lists them.
 
 #include <nlohmann/json.hpp>
+#include <vector>
 
+#include "Base/result.h"
 #include "Config/configuration.h"
 #include "Config/statement.h"
+#include "Wire/member.h"
 
 namespace buckthorncart {
 
 nlohmann::ordered_json ToJson(const Service& service);
 nlohmann::ordered_json ToJson(const Route& route);
 nlohmann::ordered_json ToJson(const Rule& rule);
+nlohmann::ordered_json ToJson(const Member& member);
+
+/// Fails with `kInvalidValue` when a condition of `show` names a key that its
+/// subject does not have.
+Result<void> CheckConditions(const ShowStatement& show);
 
 /// Objects of the kind that `show` names and that match its conditions.
 nlohmann::ordered_json ListObjects(const Configuration& configuration,
                                    const ShowStatement& show);
 
+/// Members that match the conditions of `show`.
+nlohmann::ordered_json ListMembers(const std::vector<Member>& members,
+                                   const ShowStatement& show);
+
 }  // namespace buckthorncart
--- a/Source/Plugins/operator_pages.cc
+++ b/Source/Plugins/operator_pages.cc
@@ -2,11 +2,9 @@
 
 #include <memory>
 
-#include "Config/parser.h"
 #include "Kernel/context.h"
 #include "Kernel/plugin_registry.h"
 #include "Kernel/url_query.h"
-#include "Plugins/object_json.h"
 
 namespace buckthorncart {
 namespace {
@@ -30,8 +28,6 @@
     AnswerReady(ctx, request.request);
   } else if (url.path == "/metrics") {
     ctx.AnswerText(request.request, 200, ctx.AllMetrics().PrometheusText());
-  } else if (url.path == "/v1/query") {
-    AnswerQuery(ctx, request);
   } else {
     return false;
   }
@@ -50,27 +46,4 @@
                      "wait, or use another daemon"});
 }
 
-void OperatorPages::AnswerQuery(Context& ctx,
-                                const OperatorRequested& request) {
-  const auto statement = ParseStatement(request.http.body);
-  if (!statement) {
-    ctx.AnswerFailure(request.request, 400, statement.error());
-    return;
-  }
-  const auto* show = std::get_if<ShowStatement>(&*statement);
-  if (show == nullptr) {
-    ctx.AnswerFailure(
-        request.request, 400,
-        {Errc::kSyntax, "statement", "show", "send changes to /v1/changes"});
-    return;
-  }
-  const Snapshot& held = *ctx.Shared().held;
-  const nlohmann::ordered_json body = {
-      {"daemon", ctx.Settings().self.ToString()},
-      {"version", held.version},
-      {std::string(NameOf(show->subject)),
-       ListObjects(held.configuration, *show)}};
-  ctx.AnswerJson(request.request, 200, body.dump() + "\n");
-}
-
 }  // namespace buckthorncart
--- a/Source/Plugins/operator_pages.h
+++ b/Source/Plugins/operator_pages.h
@@ -6,7 +6,7 @@
 
 namespace buckthorncart {
 
-/// Serves `show` queries about this daemon, liveness, readiness and metrics.
+/// Serves liveness, readiness and metrics.
 class OperatorPages : public Plugin {
  public:
   void Attach(Context& ctx) override;
@@ -15,7 +15,6 @@
 
  private:
   void AnswerReady(Context& ctx, uint64_t request);
-  void AnswerQuery(Context& ctx, const OperatorRequested& request);
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/receiving.h
+++ b/Source/Plugins/receiving.h
@@ -67,6 +67,7 @@
     Address admitting;
     std::set<Address> tried;
     bool head_sent = false;
+    Time arrived{};
   };
   /// What is known of a peer's backend server.
   struct PeerLoad {
@@ -96,6 +97,9 @@
   void ReleasePeer(const Active& active);
   void AnswerFailure(Context& ctx, uint64_t call, Errc reason, Outcome outcome);
   void CountOutcome(Outcome outcome);
+  /// Tells other plug-ins that a routed call has ended.
+  void RaiseEnded(Context& ctx, uint64_t call, Outcome outcome,
+                  bool caller_fault = false);
   void Finish(Context& ctx, uint64_t call);
 
   Choice choice_;
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -89,6 +89,7 @@
   active.idempotency_key = std::string(key);
   active.fingerprint =
       DigestOf(request.method + "\n" + request.path + "\n" + request.body);
+  active.arrived = ctx.Now();
   active.deadline = ctx.Now() + remaining;
   ctx.Shared().active_calls = static_cast<uint32_t>(active_.size());
   ctx.SetTimerIn(remaining, TimerKind::kCallDeadline, call);
@@ -239,6 +240,9 @@
   if (end == AnswerEnd::kMore) return;
   ReleasePeer(*active);
   CountOutcome(Outcome::kRan);
+  // A cut answer is of no use to its caller.
+  RaiseEnded(ctx, active->call,
+             end == AnswerEnd::kBroken ? Outcome::kUnknown : Outcome::kRan);
   Finish(ctx, active->call);
 }
 
@@ -270,6 +274,7 @@
     part.end = AnswerEnd::kBroken;
     ctx.Emit(AnswerCaller{call, std::move(part), true});
     CountOutcome(Outcome::kUnknown);
+    RaiseEnded(ctx, call, Outcome::kUnknown);
     Finish(ctx, call);
   }
 }
@@ -285,6 +290,7 @@
   if (it->second.route.repeatable) {
     ctx.Send(it->second.admitting, CancelCall{call});
   }
+  RaiseEnded(ctx, call, Outcome::kUnknown, true);
   Finish(ctx, call);
 }
 
@@ -300,6 +306,7 @@
     part.end = AnswerEnd::kBroken;
     ctx.Emit(AnswerCaller{call, std::move(part), true});
     CountOutcome(Outcome::kUnknown);
+    RaiseEnded(ctx, call, Outcome::kUnknown);
   } else {
     AnswerFailure(ctx, call, Errc::kDeadlineExpired, Outcome::kUnknown);
   }
@@ -316,6 +323,7 @@
 void Receiving<Choice>::AnswerFailure(Context& ctx, uint64_t call, Errc reason,
                                       Outcome outcome) {
   CountOutcome(outcome);
+  RaiseEnded(ctx, call, outcome);
   ctx.Emit(AnswerCaller{call, MakeFailureAnswer(reason, outcome),
                         ctx.Shared().draining});
 }
@@ -335,6 +343,17 @@
   }
 }
 
+template <BackendChoice Choice>
+void Receiving<Choice>::RaiseEnded(Context& ctx, uint64_t call, Outcome outcome,
+                                   bool caller_fault) {
+  const auto it = active_.find(call);
+  if (it == active_.end()) return;
+  const Active& active = it->second;
+  const Duration latency = ctx.Now() - active.arrived;
+  ctx.Raise(CallEnded{active.route.service, outcome,
+                      static_cast<uint64_t>(latency.count()), caller_fault});
+}
+
 template <BackendChoice Choice>
 void Receiving<Choice>::Finish(Context& ctx, uint64_t call) {
   active_.erase(call);
--- a/Source/Tool/apply_command.h
+++ b/Source/Tool/apply_command.h
@@ -17,6 +17,10 @@
 
  private:
   Result<std::string> ReadText() const;
+  ExitStatus Preview(const CommandContext& context,
+                     const std::string& text) const;
+  ExitStatus Apply(const CommandContext& context,
+                   const std::string& text) const;
 
   std::string file_;
   std::string text_;
--- a/Source/Tool/daemons_command.cc
+++ b/Source/Tool/daemons_command.cc
@@ -13,20 +13,12 @@
 }
 
 ExitStatus DaemonsCommand::Run(const CommandContext& context) {
-  const auto answer = FetchJson(context.client, "GET", "/v1/daemons");
-  if (!answer) {
-    PrintFailure(answer.error(), context.format);
-    return ExitStatus::kRefused;
-  }
-  const auto& body = answer->body;
-  if (body.contains("error")) {
-    PrintFailure(FailureFromJson(body), context.format);
-    return ExitStatus::kRefused;
-  }
+  const auto body = FetchOrFail(context.client, "GET", "/v1/daemons");
+  if (!body) return ReportFailure(body.error(), context.format);
   if (context.format == OutputFormat::kJson) {
-    std::cout << body.dump() << '\n';
+    std::cout << body->dump() << '\n';
   } else {
-    PrintObjects(body["daemons"]);
+    PrintObjects(body->at("daemons"));
   }
   return ExitStatus::kDone;
 }
--- a/Source/Tool/fetch_json.cc
+++ b/Source/Tool/fetch_json.cc
@@ -1,5 +1,9 @@
 #include "Tool/fetch_json.h"
 
+#include <utility>
+
+#include "Tool/output.h"
+
 namespace buckthorncart {
 
 Result<JsonAnswer> FetchJson(const OperatorClient& client,
@@ -15,4 +19,16 @@
   return JsonAnswer{answer->status, std::move(json)};
 }
 
+Result<nlohmann::ordered_json> FetchOrFail(const OperatorClient& client,
+                                           const std::string& method,
+                                           const std::string& path,
+                                           const std::string& body) {
+  auto answer = FetchJson(client, method, path, body);
+  if (!answer) return tl::unexpected(answer.error());
+  if (answer->body.contains("error")) {
+    return tl::unexpected(FailureFromJson(answer->body));
+  }
+  return std::move(answer->body);
+}
+
 }  // namespace buckthorncart
--- a/Source/Tool/fetch_json.h
+++ b/Source/Tool/fetch_json.h
@@ -21,4 +21,10 @@
                              const std::string& method, const std::string& path,
                              const std::string& body = {});
 
+/// Like `FetchJson`; a failure in the answer of the daemon is a failure too.
+Result<nlohmann::ordered_json> FetchOrFail(const OperatorClient& client,
+                                           const std::string& method,
+                                           const std::string& path,
+                                           const std::string& body = {});
+
 }  // namespace buckthorncart
--- a/Source/Tool/in_force_command.cc
+++ b/Source/Tool/in_force_command.cc
@@ -1,8 +1,12 @@
 #include "Tool/in_force_command.h"
 
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <iostream>
 
+#include "Net/loop.h"
 #include "Tool/fetch_json.h"
 #include "Tool/output.h"
 
@@ -10,11 +14,17 @@
 namespace {
 
 constexpr uint32_t kMaxWaitSeconds = 600;
+/// Longest wait of one request, so that it ends before the tool's timeout.
+constexpr Duration kStep = 1s;
 
-void PrintNames(const char* title, const nlohmann::ordered_json& names) {
-  for (const auto& name : names) {
-    std::cout << title << ": " << CellText(name) << '\n';
-  }
+bool IsEverywhere(const nlohmann::ordered_json& body) {
+  return body.value("in_force_everywhere", false);
+}
+
+void PrintProgress(const nlohmann::ordered_json& body) {
+  std::cerr << "\rversion " << body["version"] << " in force on "
+            << body["in_force"] << " of " << body["daemons"] << " daemons"
+            << std::flush;
 }
 
 }  // namespace
@@ -30,32 +40,41 @@
   return command;
 }
 
-ExitStatus InForceCommand::Run(const CommandContext& context) {
-  constexpr uint32_t kMsPerSecond = 1'000;
-  const std::string path =
-      "/v1/in-force?version=" + std::to_string(version_) +
-      "&wait-ms=" + std::to_string(wait_seconds_ * kMsPerSecond);
-  const auto answer = FetchJson(context.client, "GET", path);
-  if (!answer) {
-    PrintFailure(answer.error(), context.format);
-    return ExitStatus::kRefused;
+Result<nlohmann::ordered_json> InForceCommand::Await(
+    const CommandContext& context) const {
+  const bool progress = wait_seconds_ > 0 && isatty(STDERR_FILENO) == 1;
+  const Time end = Loop::Now() + std::chrono::seconds(wait_seconds_);
+  uint64_t version = version_;
+  while (true) {
+    const Duration left = std::max(end - Loop::Now(), Duration::zero());
+    const std::string path =
+        "/v1/in-force?version=" + std::to_string(version) +
+        "&wait-ms=" + std::to_string(ToMilliseconds(std::min(left, kStep)));
+    auto body = FetchOrFail(context.client, "GET", path);
+    if (!body) return body;
+    // Later steps ask about the version that was current at the first one.
+    version = body->value("version", version);
+    if (progress) PrintProgress(*body);
+    if (!IsEverywhere(*body) && Loop::Now() < end) continue;
+    if (progress) std::cerr << '\n';
+    return body;
   }
-  const auto& body = answer->body;
-  if (body.contains("error")) {
-    PrintFailure(FailureFromJson(body), context.format);
-    return ExitStatus::kRefused;
-  }
-  const bool everywhere = body.value("in_force_everywhere", false);
+}
+
+ExitStatus InForceCommand::Run(const CommandContext& context) {
+  const auto body = Await(context);
+  if (!body) return ReportFailure(body.error(), context.format);
   if (context.format == OutputFormat::kJson) {
-    std::cout << body.dump() << '\n';
+    std::cout << body->dump() << '\n';
   } else {
-    std::cout << "version " << body["version"] << " in force on "
-              << body["in_force"] << " of " << body["daemons"] << " daemons\n";
-    PrintNames("behind", body["behind"]);
-    PrintNames("unreachable", body["unreachable"]);
-    PrintNames("gone", body["gone"]);
+    std::cout << "version " << body->at("version") << " in force on "
+              << body->at("in_force") << " of " << body->at("daemons")
+              << " daemons\n";
+    PrintNames("behind", body->at("behind"));
+    PrintNames("unreachable", body->at("unreachable"));
+    PrintNames("gone", body->at("gone"));
   }
-  return everywhere ? ExitStatus::kDone : ExitStatus::kUndecided;
+  return IsEverywhere(*body) ? ExitStatus::kDone : ExitStatus::kUndecided;
 }
 
 }  // namespace buckthorncart
--- a/Source/Tool/main.cc
+++ b/Source/Tool/main.cc
@@ -11,9 +11,11 @@
 #include "Tool/command.h"
 #include "Tool/daemons_command.h"
 #include "Tool/in_force_command.h"
+#include "Tool/metrics_command.h"
 #include "Tool/operation_command.h"
 #include "Tool/operator_client.h"
 #include "Tool/output.h"
+#include "Tool/report_command.h"
 #include "Tool/show_command.h"
 
 namespace buckthorncart {
@@ -26,6 +28,8 @@
   commands.push_back(std::make_unique<InForceCommand>());
   commands.push_back(std::make_unique<OperationCommand>());
   commands.push_back(std::make_unique<DaemonsCommand>());
+  commands.push_back(std::make_unique<ReportCommand>());
+  commands.push_back(std::make_unique<MetricsCommand>());
   return commands;
 }
 
--- /dev/null
+++ b/Source/Tool/metrics_command.cc
@@ -0,0 +1,60 @@
+#include "Tool/metrics_command.h"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <sstream>
+
+#include "Tool/operator_client.h"
+#include "Tool/output.h"
+
+namespace buckthorncart {
+namespace {
+
+/// The samples of a page in the Prometheus text format as a JSON object.
+nlohmann::ordered_json SamplesOf(const std::string& page,
+                                 const std::string& prefix) {
+  nlohmann::ordered_json samples = nlohmann::ordered_json::object();
+  std::istringstream lines(page);
+  std::string name;
+  std::string value;
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with('#')) continue;
+    std::istringstream words(line);
+    if (!(words >> name >> value) || !name.starts_with(prefix)) continue;
+    auto number = nlohmann::ordered_json::parse(value, nullptr, false);
+    if (number.is_number()) samples[name] = std::move(number);
+  }
+  return samples;
+}
+
+}  // namespace
+
+CLI::App* MetricsCommand::Register(CLI::App& app) {
+  CLI::App* command =
+      app.add_subcommand("metrics", "Show the counters of one daemon");
+  command->add_option("prefix", prefix_, "only names that start with this");
+  command->add_flag("--raw", raw_, "the page as the daemon writes it");
+  return command;
+}
+
+ExitStatus MetricsCommand::Run(const CommandContext& context) {
+  const auto answer = context.client.Fetch({"GET", "/metrics", {}, ""});
+  if (!answer) return ReportFailure(answer.error(), context.format);
+  if (raw_) {
+    std::cout << answer->body;
+    return ExitStatus::kDone;
+  }
+  const nlohmann::ordered_json samples = SamplesOf(answer->body, prefix_);
+  if (context.format == OutputFormat::kJson) {
+    std::cout << samples.dump() << '\n';
+    return ExitStatus::kDone;
+  }
+  std::vector<std::vector<std::string>> rows;
+  for (const auto& [name, value] : samples.items()) {
+    rows.push_back({name, CellText(value)});
+  }
+  PrintTable({"metric", "value"}, rows);
+  return ExitStatus::kDone;
+}
+
+}  // namespace buckthorncart
--- a/Source/Tool/output.cc
+++ b/Source/Tool/output.cc
@@ -58,6 +58,12 @@
   PrintTable(header, rows);
 }
 
+void PrintNames(const char* title, const nlohmann::ordered_json& names) {
+  for (const auto& name : names) {
+    std::cout << title << ": " << CellText(name) << '\n';
+  }
+}
+
 std::string CellText(const nlohmann::ordered_json& value) {
   if (value.is_string()) return value.get<std::string>();
   if (value.is_null()) return "-";
@@ -72,6 +78,12 @@
   std::cerr << "buckthorncart: " << failure.Describe() << '\n';
 }
 
+ExitStatus ReportFailure(const Failure& failure, OutputFormat format) {
+  PrintFailure(failure, format);
+  return failure.code == Errc::kTimeout ? ExitStatus::kUndecided
+                                        : ExitStatus::kRefused;
+}
+
 Failure FailureFromJson(const nlohmann::ordered_json& body) {
   const auto text = [&body](const char* key) {
     const auto it = body.find(key);
--- a/Source/Tool/show_command.cc
+++ b/Source/Tool/show_command.cc
@@ -7,12 +7,24 @@
 #include "Tool/output.h"
 
 namespace buckthorncart {
+namespace {
+
+void PrintDaemon(const nlohmann::ordered_json& answer,
+                 const std::string& subject) {
+  std::cout << "version " << answer["version"] << " on "
+            << CellText(answer["daemon"])
+            << (answer.value("ready", true) ? "" : " (not ready)") << '\n';
+  PrintObjects(answer.value(subject, nlohmann::ordered_json::array()));
+}
+
+}  // namespace
 
 CLI::App* ShowCommand::Register(CLI::App& app) {
   CLI::App* command = app.add_subcommand("show", "List what is in force");
   command
       ->add_option("words", words_,
-                   "services | routes | rules, then where KEY=VALUE … at NAME")
+                   "services | routes | rules | daemons, then where "
+                   "KEY=VALUE … at VM | DATA-CENTRE")
       ->required();
   return command;
 }
@@ -20,25 +32,20 @@
 ExitStatus ShowCommand::Run(const CommandContext& context) {
   std::string text = "show";
   for (const std::string& word : words_) text += " " + word;
-  const auto answer = FetchJson(context.client, "POST", "/v1/query", text);
-  if (!answer) {
-    PrintFailure(answer.error(), context.format);
-    return ExitStatus::kRefused;
-  }
-  const auto& body = answer->body;
-  if (body.contains("error")) {
-    PrintFailure(FailureFromJson(body), context.format);
-    return ExitStatus::kRefused;
-  }
+  const auto body = FetchOrFail(context.client, "POST", "/v1/query", text);
+  if (!body) return ReportFailure(body.error(), context.format);
+  const auto missing = body->value("missing", nlohmann::ordered_json::array());
   if (context.format == OutputFormat::kJson) {
-    std::cout << body.dump() << '\n';
-    return ExitStatus::kDone;
+    std::cout << body->dump() << '\n';
+  } else if (body->contains("at")) {
+    for (const auto& answer : body->at("daemons")) {
+      PrintDaemon(answer, words_.front());
+    }
+    PrintNames("did not answer", missing);
+  } else {
+    PrintDaemon(*body, words_.front());
   }
-  std::cout << "version " << body["version"] << " on "
-            << CellText(body["daemon"]) << '\n';
-  PrintObjects(body.contains(words_.front()) ? body[words_.front()]
-                                             : nlohmann::ordered_json::array());
-  return ExitStatus::kDone;
+  return missing.empty() ? ExitStatus::kDone : ExitStatus::kUndecided;
 }
 
 }  // namespace buckthorncart
--- a/Tests/EndToEnd/whole_path_test.cc
+++ b/Tests/EndToEnd/whole_path_test.cc
@@ -96,7 +96,8 @@
   test.fleet.StartProgram(
       "second", "buckthorncartd",
       {"--peer-address", test.fleet.Callers(1).ToString(), "--callers",
-       test.fleet.Callers(1).ToString(), "--backend-server",
+       test.fleet.Operators(1).ToString(), "--operators",
+       test.fleet.Operators(9).ToString(), "--backend-server",
        test.fleet.Backend(1).ToString(), "--data-centre", "nl-west-a"});
   CHECK(test.fleet.WaitForExit("second", 10s) == 1);
 }
