--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -154,6 +154,7 @@
   app_.add_option("--peer", raw_.peers,
                   "IP:PORT of other daemons, separated by commas")
       ->delimiter(',')
+      ->allow_extra_args(false)
       ->type_name("IP:PORT [none]")
       ->group(group_)
       ->envname(EnvironmentName("--peer"));
--- a/Source/Tool/main.cc
+++ b/Source/Tool/main.cc
@@ -47,6 +47,7 @@
   app.add_option("--daemon", daemons,
                  "IP:PORT of daemons' operators' interfaces, tried in turn")
       ->delimiter(',')
+      ->allow_extra_args(false)
       ->envname("BUCKTHORNCART_DAEMON")
       ->capture_default_str();
   uint32_t timeout_ms = 15'000;
@@ -71,7 +72,11 @@
       app.exit(error);
       return ExitStatus::kDone;
     }
-    return Usage({Errc::kInvalidSetting, error.what(),
+    std::string subject = error.what();
+    for (const std::string& word : app.remaining()) {
+      if (subject.find(word) == std::string::npos) subject += ", not " + word;
+    }
+    return Usage({Errc::kInvalidSetting, subject,
                   "a command and flags as --help lists them",
                   "run buckthorncart --help"});
   }
