--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -180,6 +180,17 @@
   MSGPACK_DEFINE()
 };
 
+/// A call that reached a route has ended.
+struct CallEnded {
+  std::string service;
+  Outcome outcome = Outcome::kRan;
+  /// From the arrival of the request to the end of its answer, microseconds.
+  uint64_t latency_us = 0;
+  /// The caller ended the call, so that it says nothing about the service.
+  bool caller_fault = false;
+  MSGPACK_DEFINE(service, outcome, latency_us, caller_fault)
+};
+
 using Event =
     std::variant<Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
                  DatagramReceived, PlatformReplied, CallerRequested, CallerLeft,
@@ -187,7 +198,7 @@
                  ShutdownRequested, ConfigurationAdopted, HeadObserved,
                  MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted,
                  CallerDrained, ClaimWanted, ClaimGranted, ClaimDenied,
-                 ClaimUnused, ClaimWritten>;
+                 ClaimUnused, ClaimWritten, CallEnded>;
 
 }  // namespace buckthorncart
 
--- a/Source/Net/loop.h
+++ b/Source/Net/loop.h
@@ -15,13 +15,16 @@
 
 namespace buckthorncart {
 
+/// Largest head of an HTTP request, bytes.
+inline constexpr uint32_t kDefaultHeaderBytes = 16'384;
+
 /// Owns the libwebsockets context. Everything runs on the thread that calls
 /// `Run`.
 class Loop {
  public:
   /// `fd_limit` bounds the open descriptors. The library searches a table of
   /// that size several times for each connection that opens and closes.
-  explicit Loop(int fd_limit);
+  explicit Loop(int fd_limit, uint32_t header_bytes = kDefaultHeaderBytes);
   ~Loop();
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
--- a/Source/Net/loop_driver.h
+++ b/Source/Net/loop_driver.h
@@ -71,7 +71,7 @@
   void Carry(const LogChange& effect);
   void Carry(const Exit& effect);
   void StopWhenIdle(ListeningSocket listener, Time earliest, Time latest);
-  void AddGauges();
+  void AddMetrics();
 
   Loop& loop_;
   DriverSettings settings_;
--- a/Source/Plugins/claims_outcome_inl.h
+++ b/Source/Plugins/claims_outcome_inl.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Plugins/call_failure.h"
 #include "Plugins/claim_reply.h"
 #include "Plugins/claims.h"
 #include "Wire/codec.h"
@@ -20,10 +21,7 @@
   Claim* claim = FindByRun(answered.run);
   if (claim == nullptr || claim->stage != Stage::kGranted) return;
   const AnswerPart& part = answered.part;
-  const bool refused =
-      part.IsHead() &&
-      FindHeader(part.headers, header::kOutcome) == NameOf(Outcome::kNotRun);
-  if (refused || answered.fault == BackendFault::kNotConnected) {
+  if (IsShedAnswer(part) || answered.fault == BackendFault::kNotConnected) {
     HandleUnused(ctx, answered.run);
     return;
   }
--- a/Source/Plugins/receiving.h
+++ b/Source/Plugins/receiving.h
@@ -81,6 +81,7 @@
     /// Incarnation of the admitting daemon.
     uint64_t incarnation = 0;
     uint32_t outcome_queries = 0;
+    Time arrived{};
   };
 
   void HandleRequest(Context& ctx, const CallerRequested& requested);
@@ -117,6 +118,9 @@
   void BreakAnswer(Context& ctx, uint64_t call);
   void AnswerFailure(Context& ctx, uint64_t call, Errc reason, Outcome outcome);
   void CountOutcome(Outcome outcome);
+  /// Tells other plug-ins that a routed call has ended.
+  void RaiseEnded(Context& ctx, uint64_t call, Outcome outcome,
+                  bool caller_fault = false);
   void Finish(Context& ctx, uint64_t call);
 
   Choice choice_;
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -112,6 +112,7 @@
   active.request = request;
   active.idempotency_key = std::string(key);
   active.fingerprint = fingerprint;
+  active.arrived = ctx.Now();
   active.deadline = ctx.Now() + remaining;
   ctx.Shared().active_calls = static_cast<uint32_t>(active_.size());
   ctx.SetTimerIn(remaining, TimerKind::kCallDeadline, call);
@@ -329,6 +330,7 @@
   part.end = AnswerEnd::kBroken;
   ctx.Emit(AnswerCaller{call, std::move(part), true});
   CountOutcome(Outcome::kUnknown);
+  RaiseEnded(ctx, call, Outcome::kUnknown);
   Finish(ctx, call);
 }
 
@@ -361,6 +363,9 @@
   loads_.NoteTime(from, active->route.request_class,
                   ctx.Now() - active->sent_at, ctx.Now());
   CountOutcome(Outcome::kRan);
+  // A cut answer is of no use to its caller.
+  RaiseEnded(ctx, active->call,
+             end == AnswerEnd::kBroken ? Outcome::kUnknown : Outcome::kRan);
   Finish(ctx, active->call);
 }
 
@@ -430,6 +435,7 @@
   if (it->second.route.repeatable) {
     ctx.Send(it->second.admitting, CancelCall{call});
   }
+  RaiseEnded(ctx, call, Outcome::kUnknown, true);
   Finish(ctx, call);
 }
 
@@ -462,6 +468,7 @@
   const bool may_have_run = it != active_.end() && it->second.may_have_run;
   if (Rules::kRememberAttempts && may_have_run) outcome = Outcome::kUnknown;
   CountOutcome(outcome);
+  RaiseEnded(ctx, call, outcome);
   ctx.Emit(AnswerCaller{call, MakeFailureAnswer(reason, outcome),
                         ctx.Shared().draining});
 }
@@ -481,6 +488,17 @@
   }
 }
 
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::RaiseEnded(Context& ctx, uint64_t call,
+                                          Outcome outcome, bool caller_fault) {
+  const auto it = active_.find(call);
+  if (it == active_.end()) return;
+  const Active& active = it->second;
+  const Duration latency = ctx.Now() - active.arrived;
+  ctx.Raise(CallEnded{active.route.service, outcome,
+                      static_cast<uint64_t>(latency.count()), caller_fault});
+}
+
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::Finish(Context& ctx, uint64_t call) {
   active_.erase(call);
--- a/Source/Tool/main.cc
+++ b/Source/Tool/main.cc
@@ -11,9 +11,11 @@
 #include "Tool/command.h"
 #include "Tool/daemons_command.h"
 #include "Tool/in_force_command.h"
+#include "Tool/metrics_command.h"
 #include "Tool/operation_command.h"
 #include "Tool/operator_client.h"
 #include "Tool/output.h"
+#include "Tool/report_command.h"
 #include "Tool/show_command.h"
 
 namespace buckthorncart {
@@ -26,6 +28,8 @@
   commands.push_back(std::make_unique<InForceCommand>());
   commands.push_back(std::make_unique<OperationCommand>());
   commands.push_back(std::make_unique<DaemonsCommand>());
+  commands.push_back(std::make_unique<ReportCommand>());
+  commands.push_back(std::make_unique<MetricsCommand>());
   return commands;
 }
 
@@ -43,6 +47,7 @@
   app.add_option("--daemon", daemons,
                  "IP:PORT of daemons' operators' interfaces, tried in turn")
       ->delimiter(',')
+      ->allow_extra_args(false)
       ->envname("BUCKTHORNCART_DAEMON")
       ->capture_default_str();
   uint32_t timeout_ms = 15'000;
@@ -67,7 +72,11 @@
       app.exit(error);
       return ExitStatus::kDone;
     }
-    return Usage({Errc::kInvalidSetting, error.what(),
+    std::string subject = error.what();
+    for (const std::string& word : app.remaining()) {
+      if (subject.find(word) == std::string::npos) subject += ", not " + word;
+    }
+    return Usage({Errc::kInvalidSetting, subject,
                   "a command and flags as --help lists them",
                   "run buckthorncart --help"});
   }
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -180,8 +180,8 @@
                  SnapshotBusy, VersionHeld, FloorQuery, FloorReport,
                  PullMembers, PushMembers, Call, CallRefused, CallAnswer,
                  CallFailed, CancelCall, OperatorQuery, OperatorReply,
-                 CallCredit, ClaimQuery, ClaimReport, OutcomeQuery,
-                 CrashReport, RelayedWrite, RelayedReply>;
+                 CallCredit, ClaimQuery, ClaimReport, OutcomeQuery, CrashReport,
+                 RelayedWrite, RelayedReply>;
 
 }  // namespace buckthorncart
 
--- a/Tests/EndToEnd/bad_input_test.cc
+++ b/Tests/EndToEnd/bad_input_test.cc
@@ -35,12 +35,12 @@
       MakeFrame(Encode(PeerMessage(Ping{1}))),
       MakeFrame(Encode(PeerMessage(Hello{{1, 1}, 1}))) + MakeFrame("junk")};
   for (const std::string& fault : faults) {
-    const double before = test.Metric(2, "bad_frames");
+    const double before = test.Metric(2, "bad_frames_total");
     RawConnection connection(PeerAddress(test, 2));
     REQUIRE(connection.IsOpen());
     connection.Send(fault);
     CHECK(connection.IsClosedWithin(5s));
-    CHECK(test.Metric(2, "bad_frames") == before + 1);
+    CHECK(test.Metric(2, "bad_frames_total") == before + 1);
   }
   CheckStillServes(test);
 }
--- a/Tests/EndToEnd/whole_path_test.cc
+++ b/Tests/EndToEnd/whole_path_test.cc
@@ -73,7 +73,8 @@
   test.Processes().StartProgram(
       "second", "buckthorncartd",
       {"--peer-address", test.Processes().Callers(1).ToString(), "--callers",
-       test.Processes().Callers(1).ToString(), "--backend-server",
+       test.Processes().Operators(1).ToString(), "--operators",
+       test.Processes().Operators(9).ToString(), "--backend-server",
        test.Processes().Backend(1).ToString(), "--data-centre", "nl-west-a"});
   CHECK(test.Processes().WaitForExit("second", 10s) == 1);
 }
--- a/Tests/Requests/routing_test.cc
+++ b/Tests/Requests/routing_test.cc
@@ -20,6 +20,12 @@
 template <RequestRules Rules>
 std::string OutcomeAfterBrokenRun() {
   RequestFleet test(PluginsWith<Rules>, {1, 2, 4});
+  // A request that has been answered before is not suspected of the crash, so
+  // that it is tried elsewhere.
+  while (test.fleet.RunsAt(2) == 0) {
+    test.Get(1, "/proofs", 1'000);
+    test.fleet.Advance(100ms);
+  }
   test.fleet.Behaviours()[2].fault = BackendFault::kConnectionBroken;
   test.fleet.Behaviours()[3].fault = BackendFault::kNotConnected;
   std::string outcome = "not-run";
