Hold unread answers at their source instead of cutting them

The bound on all unread answers of a daemon (96 MB) cut the longest of them; the backend server stand-in shares the HTTP server, so that it cut answers that were only held back by flow control, and the crash guard took each cut for a death.

Ruled out: keeping both, the bound as a last resort. It can only trigger when credits fail, and then hides that.

The check of memory is stricter (80 MB instead of 160 MB) and now asks for all 48.

The control of 'not-run is not said after an attempt that may have run' no longer reached its second attempt, since a request that breaks the first backend server is now suspected of the crash. The scenario answers the request once before and tries 16 orders in fresh fleets; what is checked is the same.

--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -99,7 +99,6 @@
   DaemonSettings settings_;
   uint32_t fd_limit_ = 2'048;
   uint32_t body_limit_ = 1U << 20U;
-  uint32_t answer_buffer_limit_ = 96U << 20U;
   uint32_t header_limit_ = kDefaultHeaderBytes;
   uint32_t connection_limit_ = 2'048;
 };
@@ -212,8 +211,8 @@
             "time until a new backend server takes a full share, ms");
   AddNumber("--body-limit", body_limit_, 0, 64U << 20U,
             "largest request body, bytes");
-  AddNumber("--answer-buffer-limit", answer_buffer_limit_, 1U << 20U, ~0U,
-            "answers that callers have not read, bytes in all");
+  AddNumber("--answer-window-bytes", kernel.answer_window_bytes, 65'536, ~0U,
+            "bytes of one answer on their way between two daemons");
   AddNumber("--header-limit", header_limit_, 1'024, 60'000,
             "largest head of a request, bytes");
   AddNumber("--connection-limit", connection_limit_, 1, 65'536,
@@ -297,7 +296,6 @@
   settings_.fd_limit = static_cast<int>(fd_limit_);
   settings_.header_bytes = header_limit_;
   settings_.driver.limits.body_bytes = body_limit_;
-  settings_.driver.limits.buffered_bytes = answer_buffer_limit_;
   settings_.driver.limits.connections = connection_limit_;
   settings_.kernel.seed = std::random_device{}();
   Result<void> named = CheckAddressesDiffer(settings_);
--- a/Source/Kernel/kernel_settings.h
+++ b/Source/Kernel/kernel_settings.h
@@ -87,6 +87,8 @@
 
   // Requests, continued.
   ChoicePolicy choice = ChoicePolicy::kTwoRandom;
+  /// Bytes of one answer that may be on their way between two daemons.
+  uint32_t answer_window_bytes = 512U << 10U;
 
   MSGPACK_DEFINE(self, data_centre, peers, backend, seed, spreading,
                  spreading_fanout, holders_timeout_ms, decision_timeout_ms,
@@ -94,7 +96,7 @@
                  probe_timeout_ms, suspicion_ms, peer_timeout_ms, queue_limit,
                  max_attempts, retry_budget_percent, backend_timeout_ms,
                  slow_start_ms, platform_timeout_ms, platform_queue_limit,
-                 platform_concurrency, choice)
+                 platform_concurrency, choice, answer_window_bytes)
 };
 
 }  // namespace buckthorncart
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -151,32 +151,8 @@
   session.close = session.close || close;
   if (session.cut) return;
   session.buffered += part.body.size();
-  buffered_ += part.body.size();
   session.parts.push_back(std::move(part));
   lws_callback_on_writable(session.wsi);
-  if (buffered_ > limits_.buffered_bytes) CutSlowest();
-}
-
-/// Cuts the answer of which most waits to be read.
-void HttpServer::CutSlowest() {
-  const auto slowest = std::max_element(
-      by_id_.begin(), by_id_.end(), [](const auto& a, const auto& b) {
-        return a.second->buffered < b.second->buffered;
-      });
-  if (slowest == by_id_.end()) return;
-  Session& session = *slowest->second;
-  ++cut_answers_;
-  ReleaseBuffers(session);
-  session.cut = true;
-  // A peer that does not read never becomes writeable.
-  lws_set_timeout(session.wsi, PENDING_TIMEOUT_USER_REASON_BASE,
-                  LWS_TO_KILL_ASYNC);
-}
-
-void HttpServer::ReleaseBuffers(Session& session) {
-  buffered_ -= session.buffered;
-  session.buffered = 0;
-  session.parts.clear();
 }
 
 void HttpServer::Cut(uint64_t id) {
@@ -212,7 +188,6 @@
     const AnswerEnd end = part.end;
     session->buffered -= part.body.size();
     session->drained += part.body.size();
-    buffered_ -= part.body.size();
     session->part_offset = 0;
     session->parts.pop_front();
     if (end != AnswerEnd::kMore) return FinishAnswer(*session, end);
@@ -285,7 +260,6 @@
 int HttpServer::FinishAnswer(Session& session, AnswerEnd end) {
   lws* wsi = session.wsi;
   const bool close = session.close || end == AnswerEnd::kBroken;
-  ReleaseBuffers(session);
   by_id_.erase(session.id);
   sessions_.erase(wsi);
   if (end == AnswerEnd::kBroken) return -1;
@@ -298,7 +272,6 @@
   if (it == sessions_.end()) return;
   const uint64_t id = it->second->id;
   const bool dispatched = it->second->dispatched;
-  ReleaseBuffers(*it->second);
   by_id_.erase(id);
   sessions_.erase(it);
   if (dispatched) handler_.OnLeft(id);
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -23,8 +23,6 @@
   size_t body_bytes = 1U << 20U;
   /// Connections beyond this are closed.
   size_t connections = 4'096;
-  /// Answers that wait to be read, bytes in all; the longest is cut beyond it.
-  size_t buffered_bytes = 96U << 20U;
 };
 
 /// Receives what happens on a server.
@@ -61,8 +59,6 @@
 
   /// True when no request is being read or answered.
   bool IsIdle() const { return sessions_.empty(); }
-  /// Answers cut because they were not read.
-  uint64_t CutAnswers() const { return cut_answers_; }
   /// Bytes of answers that wait to be written.
   size_t BufferedBytes(uint64_t id) const;
 
@@ -101,8 +97,6 @@
   int WriteBody(Session& session, const AnswerPart& part);
   int FinishAnswer(Session& session, AnswerEnd end);
   Session* Find(lws* wsi);
-  void CutSlowest();
-  void ReleaseBuffers(Session& session);
 
   Loop& loop_;
   HttpServerLimits limits_;
@@ -111,9 +105,6 @@
   std::unordered_map<lws*, std::unique_ptr<Session>> sessions_;
   std::unordered_map<uint64_t, Session*> by_id_;
   uint64_t next_id_;
-  /// Bytes of all answers that wait to be written.
-  size_t buffered_ = 0;
-  uint64_t cut_answers_ = 0;
 };
 
 }  // namespace buckthorncart
--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -108,8 +108,6 @@
   metrics.AddCounter("datagram_received_bytes_total",
                      [this] { return datagrams_.ReceivedBytes(); });
   metrics.AddCounter("bad_frames_total", [this] { return bad_frames_; });
-  metrics.AddCounter("answers_cut_unread_total",
-                     [this] { return callers_.CutAnswers(); });
 }
 
 void LoopDriver::UsePlatform(PlatformSubmit platform) {
--- a/Source/Plugins/answer_flow.cc
+++ b/Source/Plugins/answer_flow.cc
@@ -38,7 +38,8 @@
   }
   Flow& flow = flows_[answered.run];
   flow.outstanding += answered.part.body.size();
-  if (flow.paused || flow.outstanding < kAnswerWindowBytes) return;
+  if (flow.paused || flow.outstanding < ctx.Settings().answer_window_bytes)
+    return;
   flow.paused = true;
   counters_.Add(AnswerFlowCounter::kPauses);
   ctx.Emit(PauseBackend{answered.run});
@@ -73,7 +74,8 @@
   if (it == flows_.end()) return;
   Flow& flow = it->second;
   flow.outstanding -= std::min(flow.outstanding, bytes);
-  if (!flow.paused || flow.outstanding > kAnswerWindowBytes / 2) return;
+  if (!flow.paused || flow.outstanding > ctx.Settings().answer_window_bytes / 2)
+    return;
   flow.paused = false;
   counters_.Add(AnswerFlowCounter::kResumes);
   ctx.Emit(ResumeBackend{run->second});
--- a/Source/Plugins/answer_flow.h
+++ b/Source/Plugins/answer_flow.h
@@ -20,9 +20,6 @@
                                                 "answer_resumes_total"};
 };
 
-/// Bytes of one answer that may be on their way between the two daemons.
-inline constexpr uint64_t kAnswerWindowBytes = 512U << 10U;
-
 /// Bounds the memory that an answer takes in the daemons when its caller
 /// reads slowly. The receiving daemon grants credit for what the caller has
 /// taken; the admitting daemon stops reading from the backend server while an
--- a/Tests/EndToEnd/answers_test.cc
+++ b/Tests/EndToEnd/answers_test.cc
@@ -75,19 +75,19 @@
   return result;
 }
 
-/// Limit of the answers' buffers and what else a daemon may use.
-constexpr uint64_t kMaxPeakKiB = 160 * 1'024;
+/// Two windows for each slow caller and what else a daemon may use.
+constexpr uint64_t kMaxPeakKiB = 80 * 1'024;
 
 TEST_CASE("answers: memory is bounded when callers do not read") {
   const SlowReaders result = RunSlowReaders({});
   CHECK(result.peak_kib <= kMaxPeakKiB);
   CHECK(result.other_is_whole);
-  CHECK(result.whole > 0);
+  CHECK(result.whole == kReaders);
 }
 
-TEST_CASE("answers control: without the limit memory grows") {
+TEST_CASE("answers control: without a window memory grows") {
   const SlowReaders result =
-      RunSlowReaders({"--answer-buffer-limit", "4000000000"});
+      RunSlowReaders({"--answer-window-bytes", "4000000000"});
   CHECK(result.peak_kib > kMaxPeakKiB);
 }
 
--- a/Tests/Requests/routing_test.cc
+++ b/Tests/Requests/routing_test.cc
@@ -15,29 +15,36 @@
   static constexpr bool kSlowStart = false;
 };
 
-/// Outcome of a call whose first attempt ran and broke, and whose second was
-/// refused.
+/// Outcome of a call after `warm_up` others, when the backend server at 2
+/// breaks what it runs and the one at 3 cannot be reached; empty when the call
+/// did not run at 2.
 template <RequestRules Rules>
-std::string OutcomeAfterBrokenRun() {
+std::string OutcomeAfter(int warm_up) {
   RequestFleet test(PluginsWith<Rules>, {1, 2, 4});
   // A request that has been answered before is not suspected of the crash, so
   // that it is tried elsewhere.
-  while (test.fleet.RunsAt(2) == 0) {
+  for (int i = 0; i < warm_up || test.fleet.RunsAt(2) == 0; ++i) {
     test.Get(1, "/proofs", 1'000);
     test.fleet.Advance(100ms);
   }
   test.fleet.Behaviours()[2].fault = BackendFault::kConnectionBroken;
   test.fleet.Behaviours()[3].fault = BackendFault::kNotConnected;
-  std::string outcome = "not-run";
-  for (int i = 0; i < 10; ++i) {
-    const uint64_t runs = test.fleet.RunsAt(2);
-    const uint64_t call = test.Get(1, "/proofs", 1'000);
-    test.fleet.Advance(100ms);
-    if (test.fleet.RunsAt(2) == runs) continue;
-    outcome = test.Outcome(call);
-    if (outcome == "not-run") break;
+  const uint64_t runs = test.fleet.RunsAt(2);
+  const uint64_t call = test.Get(1, "/proofs", 1'000);
+  test.fleet.Advance(100ms);
+  return test.fleet.RunsAt(2) == runs ? "" : test.Outcome(call);
+}
+
+/// "not-run" if that is said of any call that ran and broke, else "unknown".
+template <RequestRules Rules>
+std::string OutcomeAfterBrokenRun() {
+  constexpr int kOrders = 16;
+  for (int i = 0; i < kOrders; ++i) {
+    const std::string outcome = OutcomeAfter<Rules>(i);
+    if (outcome == "not-run") return outcome;
+    CHECK((outcome.empty() || outcome == "unknown"));
   }
-  return outcome;
+  return "unknown";
 }
 
 TEST_CASE("routing: not-run is not said after an attempt that may have run") {
