Split the receiving plug-in and examine a call in one place

Cause: receiving_inl.h had grown to 508 lines and HandleRequest to 65, with routing, keys, deadlines and the crash guard in one function.

Now ExamineCall settles what is known before the first attempt, and attempts have a file of their own.

Ruled out: a class for attempts; it would need most of the state of calls.

--- /dev/null
+++ b/Source/Plugins/call_plan.cc
@@ -0,0 +1,73 @@
+#include "Plugins/call_plan.h"
+
+#include <charconv>
+#include <utility>
+
+#include "Base/digest.h"
+#include "Kernel/context.h"
+#include "Kernel/crash_register.h"
+#include "Plugins/claim_row.h"
+
+namespace buckthorncart {
+namespace {
+
+/// Longest deadline that a caller may give, milliseconds.
+constexpr uint32_t kMaxDeadlineMs = 3'600'000;
+
+/// Reason why no call is taken at present, or `kOk`.
+Errc StateOf(Context& ctx) {
+  if (!ctx.Shared().ready) return Errc::kNotReady;
+  return ctx.Shared().refusing_callers ? Errc::kDraining : Errc::kOk;
+}
+
+Errc CheckKey(const Route& route, std::string_view key) {
+  if (key.empty()) {
+    return route.repeatable ? Errc::kOk : Errc::kMissingIdempotencyKey;
+  }
+  return IsIdempotencyKey(key) ? Errc::kOk : Errc::kInvalidIdempotencyKey;
+}
+
+tl::expected<Duration, Errc> TimeFor(const Route& route,
+                                     const HttpRequest& request) {
+  uint32_t deadline_ms = route.timeout_ms;
+  const std::string_view text = FindHeader(request.headers, header::kDeadline);
+  if (!text.empty()) {
+    const char* end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data(), end, deadline_ms);
+    const bool valid = ec == std::errc() && stop == end;
+    if (!valid || deadline_ms > kMaxDeadlineMs) {
+      return tl::unexpected(Errc::kInvalidDeadline);
+    }
+  }
+  if (deadline_ms == 0) return tl::unexpected(Errc::kDeadlineExpired);
+  return std::chrono::milliseconds(deadline_ms);
+}
+
+}  // namespace
+
+tl::expected<CallPlan, Errc> ExamineCall(Context& ctx,
+                                         const HttpRequest& request) {
+  const Errc state = StateOf(ctx);
+  if (state != Errc::kOk) return tl::unexpected(state);
+  CallPlan plan;
+  plan.snapshot = ctx.Shared().held;
+  const Route* route = plan.snapshot->configuration.FindRoute(request.path);
+  if (route == nullptr) return tl::unexpected(Errc::kUnknownRoute);
+  plan.route = *route;
+  const std::string_view key =
+      FindHeader(request.headers, header::kIdempotencyKey);
+  const Errc key_fault = CheckKey(*route, key);
+  if (key_fault != Errc::kOk) return tl::unexpected(key_fault);
+  plan.idempotency_key = std::string(key);
+  const auto time = TimeFor(*route, request);
+  if (!time) return tl::unexpected(time.error());
+  plan.time = *time;
+  plan.fingerprint =
+      DigestOf(request.method + "\n" + request.path + "\n" + request.body);
+  if (ctx.Shared().crashes->Refuses(ctx.Now(), plan.fingerprint)) {
+    return tl::unexpected(Errc::kCrashGuard);
+  }
+  return plan;
+}
+
+}  // namespace buckthorncart
--- a/Source/Plugins/receiving.h
+++ b/Source/Plugins/receiving.h
@@ -132,4 +132,5 @@
 
 }  // namespace buckthorncart
 
+#include "Plugins/receiving_attempts_inl.h"
 #include "Plugins/receiving_inl.h"
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -1,24 +1,16 @@
 #pragma once
 /// \file
-/// Definitions of `Receiving`; include receiving.h.
+/// Definitions of `Receiving` about calls and their answers; include
+/// receiving.h.
 
-#include <algorithm>
-#include <charconv>
 #include <utility>
 
-#include "Base/digest.h"
-#include "Kernel/crash_register.h"
 #include "Plugins/call_failure.h"
-#include "Plugins/claim_row.h"
+#include "Plugins/call_plan.h"
 #include "Plugins/receiving.h"
 
 namespace buckthorncart {
 
-/// Longest deadline that a caller may give, milliseconds.
-inline constexpr uint32_t kMaxDeadlineMs = 3'600'000;
-/// Times that the outcome of one attempt is asked for.
-inline constexpr uint32_t kMaxOutcomeQueries = 2;
-
 template <BackendChoice Choice, RequestRules Rules>
 Receiving<Choice, Rules>::Receiving(const KernelSettings& settings)
     : retry_budget_(settings.retry_budget_percent) {}
@@ -59,177 +51,25 @@
   counters_.Add(ReceivingCounter::kCalls);
   retry_budget_.NoteCall();
   const uint64_t call = requested.call;
-  const HttpRequest& request = requested.request;
-  if (!ctx.Shared().ready) {
-    AnswerFailure(ctx, call, Errc::kNotReady, Outcome::kNotRun);
-    return;
-  }
-  if (ctx.Shared().refusing_callers) {
-    AnswerFailure(ctx, call, Errc::kDraining, Outcome::kNotRun);
-    return;
-  }
-  const SnapshotPtr& held = ctx.Shared().held;
-  const Route* route = held->configuration.FindRoute(request.path);
-  if (route == nullptr) {
-    AnswerFailure(ctx, call, Errc::kUnknownRoute, Outcome::kNotRun);
+  const auto plan = ExamineCall(ctx, requested.request);
+  if (!plan) {
+    AnswerFailure(ctx, call, plan.error(), Outcome::kNotRun);
     return;
   }
-  const std::string_view key =
-      FindHeader(request.headers, header::kIdempotencyKey);
-  if (!route->repeatable && key.empty()) {
-    AnswerFailure(ctx, call, Errc::kMissingIdempotencyKey, Outcome::kNotRun);
-    return;
-  }
-  if (!key.empty() && !IsIdempotencyKey(key)) {
-    AnswerFailure(ctx, call, Errc::kInvalidIdempotencyKey, Outcome::kNotRun);
-    return;
-  }
-  uint32_t deadline_ms = route->timeout_ms;
-  const std::string_view text = FindHeader(request.headers, header::kDeadline);
-  if (!text.empty()) {
-    const char* end = text.data() + text.size();
-    const auto [stop, ec] = std::from_chars(text.data(), end, deadline_ms);
-    if (ec != std::errc() || stop != end || deadline_ms > kMaxDeadlineMs) {
-      AnswerFailure(ctx, call, Errc::kInvalidDeadline, Outcome::kNotRun);
-      return;
-    }
-  }
-  if (deadline_ms == 0) {
-    AnswerFailure(ctx, call, Errc::kDeadlineExpired, Outcome::kNotRun);
-    return;
-  }
-  const uint64_t fingerprint =
-      DigestOf(request.method + "\n" + request.path + "\n" + request.body);
-  if (ctx.Shared().crashes->Refuses(ctx.Now(), fingerprint)) {
-    AnswerFailure(ctx, call, Errc::kCrashGuard, Outcome::kNotRun);
-    return;
-  }
-  const Duration remaining = std::chrono::milliseconds(deadline_ms);
   Active& active = active_[call];
   active.call = call;
-  active.snapshot = held;
-  active.route = *route;
-  active.request = request;
-  active.idempotency_key = std::string(key);
-  active.fingerprint = fingerprint;
+  active.snapshot = plan->snapshot;
+  active.route = plan->route;
+  active.request = requested.request;
+  active.idempotency_key = plan->idempotency_key;
+  active.fingerprint = plan->fingerprint;
   active.arrived = ctx.Now();
-  active.deadline = ctx.Now() + remaining;
+  active.deadline = ctx.Now() + plan->time;
   ctx.Shared().active_calls = static_cast<uint32_t>(active_.size());
-  ctx.SetTimerIn(remaining, TimerKind::kCallDeadline, call);
+  ctx.SetTimerIn(plan->time, TimerKind::kCallDeadline, call);
   Attempt(ctx, active);
 }
 
-template <BackendChoice Choice, RequestRules Rules>
-void Receiving<Choice, Rules>::HandleMemberChanged(Context& ctx,
-                                                   Address address) {
-  const auto it = ctx.Shared().members.find(address);
-  if (it != ctx.Shared().members.end()) {
-    loads_.NoteMember(it->second, ctx.Now());
-  }
-}
-
-template <BackendChoice Choice, RequestRules Rules>
-void Receiving<Choice, Rules>::Attempt(Context& ctx, Active& active) {
-  std::vector<Candidate> candidates = Candidates(ctx, active);
-  const bool none = candidates.empty();
-  RemoveUnsuitable(ctx, active, candidates);
-  if (candidates.empty()) {
-    if (!none) counters_.Add(ReceivingCounter::kTooLate);
-    AnswerFailure(ctx, active.call,
-                  none ? Errc::kNoBackendServer : Errc::kDeadlineExpired,
-                  Outcome::kNotRun);
-    Finish(ctx, active.call);
-    return;
-  }
-  const Candidate& chosen = candidates[choice_.Pick(ctx, candidates)];
-  active.admitting = chosen.daemon;
-  active.tried.insert(chosen.daemon);
-  active.sent_at = ctx.Now();
-  active.parts = 0;
-  ++active.attempts;
-  loads_.NoteSent(chosen.daemon);
-  active.outcome_queries = 0;
-  const auto member = ctx.Shared().members.find(chosen.daemon);
-  if (member != ctx.Shared().members.end()) {
-    active.incarnation = member->second.incarnation;
-  }
-  ctx.Shared().peers_used[chosen.daemon] = ctx.Now();
-  counters_.Add(ReceivingCounter::kAttempts);
-  const auto remaining = ToMilliseconds(active.deadline - ctx.Now());
-  ctx.Send(chosen.daemon,
-           Call{active.call, active.route.service, active.route.request_class,
-                active.route.repeatable, active.idempotency_key,
-                static_cast<uint32_t>(std::max<int64_t>(remaining, 0)),
-                active.fingerprint, active.request});
-}
-
-template <BackendChoice Choice, RequestRules Rules>
-std::vector<Candidate> Receiving<Choice, Rules>::Candidates(
-    Context& ctx, const Active& active) const {
-  std::vector<Candidate> candidates;
-  AddCandidate(ctx, active, ctx.Shared().self, candidates);
-  for (const auto& [address, member] : ctx.Shared().members) {
-    AddCandidate(ctx, active, member, candidates);
-  }
-  return candidates;
-}
-
-/// Leaves out those that would answer too late, and those that fail.
-template <BackendChoice Choice, RequestRules Rules>
-void Receiving<Choice, Rules>::RemoveUnsuitable(
-    Context& ctx, const Active& active,
-    std::vector<Candidate>& candidates) const {
-  std::erase_if(candidates, [&](const Candidate& candidate) {
-    return !HasTime(ctx, active, candidate);
-  });
-  const auto ejected = [&](const Candidate& candidate) {
-    return candidate.suspect || loads_.IsEjected(candidate.daemon, ctx.Now());
-  };
-  // A candidate that may fail is better than none.
-  if (!std::all_of(candidates.begin(), candidates.end(), ejected)) {
-    std::erase_if(candidates, ejected);
-  }
-}
-
-template <BackendChoice Choice, RequestRules Rules>
-bool Receiving<Choice, Rules>::HasTime(Context& ctx, const Active& active,
-                                       const Candidate& candidate) const {
-  if (!Rules::kCheckServiceTime) return true;
-  const Duration remaining = active.deadline - ctx.Now();
-  return remaining >= std::max<Duration>(candidate.expected_time, 1ms);
-}
-
-template <BackendChoice Choice, RequestRules Rules>
-void Receiving<Choice, Rules>::NoteFailure(Context& ctx, Address peer) {
-  if (!loads_.NoteFailure(peer, ctx.Now())) return;
-  counters_.Add(ReceivingCounter::kEjections);
-  ctx.Log(LogTopic::kEjected, {{"daemon", peer.ToString()}});
-}
-
-template <BackendChoice Choice, RequestRules Rules>
-void Receiving<Choice, Rules>::AddCandidate(
-    Context& ctx, const Active& active, const Member& member,
-    std::vector<Candidate>& candidates) const {
-  const BackendAnnouncement& backend = member.backend;
-  if (backend.state != BackendState::kReady) return;
-  if (backend.service != active.route.service) return;
-  if (member.status > MemberStatus::kSuspect) return;
-  if (active.tried.contains(member.address)) return;
-  if (loads_.IsDropped(member, ctx.Now())) return;
-  if (!active.snapshot->configuration.Allows(
-          backend.service, active.route.request_class, member.data_centre,
-          backend.labels)) {
-    return;
-  }
-  const Duration slow_start =
-      std::chrono::milliseconds(ctx.Settings().slow_start_ms);
-  Candidate candidate = loads_.Describe(member, active.route.request_class,
-                                        slow_start, ctx.Now());
-  candidate.suspect = member.status == MemberStatus::kSuspect;
-  candidate.same_data_centre = member.data_centre == ctx.Settings().data_centre;
-  candidates.push_back(candidate);
-}
-
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::HandlePeerMessage(
     Context& ctx, const PeerMessageReceived& received) {
@@ -266,63 +106,6 @@
   RetryOrAnswer(ctx, *active, refused.reason, Outcome::kNotRun, !leaves);
 }
 
-template <BackendChoice Choice, RequestRules Rules>
-void Receiving<Choice, Rules>::NoteRefusal(Context& ctx, Address from,
-                                           Errc reason) {
-  switch (reason) {
-    case Errc::kBackendServerFailed:
-      NoteFailure(ctx, from);
-      break;
-    case Errc::kOverloaded:
-      loads_.NoteOverloaded(from, ctx.Now());
-      break;
-    case Errc::kDraining:
-    case Errc::kNotReady:
-    case Errc::kNoBackendServer: {
-      const auto it = ctx.Shared().members.find(from);
-      const bool known = it != ctx.Shared().members.end();
-      if (known) loads_.NoteUnavailable(it->second, ctx.Now());
-      break;
-    }
-    default:
-      break;
-  }
-}
-
-template <BackendChoice Choice, RequestRules Rules>
-bool Receiving<Choice, Rules>::MayRetry(Context& ctx, const Active& active,
-                                        bool charged) {
-  if (active.attempts >= ctx.Settings().max_attempts) return false;
-  if (ctx.Now() >= active.deadline) return false;
-  std::vector<Candidate> candidates = Candidates(ctx, active);
-  RemoveUnsuitable(ctx, active, candidates);
-  if (candidates.empty()) return false;
-  return !charged || !Rules::kBoundRetries ||
-         retry_budget_.Spend(active.route.request_class);
-}
-
-template <BackendChoice Choice, RequestRules Rules>
-void Receiving<Choice, Rules>::RetryOrAnswer(Context& ctx, Active& active,
-                                             Errc reason, Outcome outcome,
-                                             bool charged) {
-  active.admitting = {};
-  if (active.head_sent) {
-    BreakAnswer(ctx, active.call);
-    return;
-  }
-  if (outcome != Outcome::kNotRun) active.may_have_run = true;
-  const bool may_run_again =
-      (outcome == Outcome::kNotRun || active.route.repeatable) &&
-      !IsFinalRefusal(reason);
-  if (may_run_again && MayRetry(ctx, active, charged)) {
-    counters_.Add(ReceivingCounter::kRetries);
-    Attempt(ctx, active);
-    return;
-  }
-  AnswerFailure(ctx, active.call, reason, outcome);
-  Finish(ctx, active.call);
-}
-
 /// Ends an answer that has begun, so that it cannot be taken as whole.
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::BreakAnswer(Context& ctx, uint64_t call) {
@@ -404,26 +187,6 @@
   }
 }
 
-template <BackendChoice Choice, RequestRules Rules>
-void Receiving<Choice, Rules>::NotePeersInUse(Context& ctx) const {
-  for (const auto& [call, active] : active_) {
-    if (!active.admitting.IsSet()) continue;
-    ctx.Shared().peers_used[active.admitting] = ctx.Now();
-  }
-}
-
-template <BackendChoice Choice, RequestRules Rules>
-bool Receiving<Choice, Rules>::QueryOutcome(Context& ctx, Active& active) {
-  if (active.route.repeatable || active.head_sent) return false;
-  if (active.outcome_queries >= kMaxOutcomeQueries) return false;
-  ++active.outcome_queries;
-  ctx.Shared().peers_used[active.admitting] = ctx.Now();
-  ctx.Send(active.admitting,
-           OutcomeQuery{active.call, active.route.service,
-                        active.idempotency_key, active.incarnation});
-  return true;
-}
-
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::HandleCallerLeft(Context& ctx, uint64_t call) {
   const auto it = active_.find(call);
@@ -456,11 +219,6 @@
   Finish(ctx, call);
 }
 
-template <BackendChoice Choice, RequestRules Rules>
-void Receiving<Choice, Rules>::ReleasePeer(const Active& active) {
-  loads_.NoteDone(active.admitting);
-}
-
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::AnswerFailure(Context& ctx, uint64_t call,
                                              Errc reason, Outcome outcome) {
--- a/Tests/EndToEnd/slow_caller_test.cc
+++ b/Tests/EndToEnd/slow_caller_test.cc
@@ -23,7 +23,7 @@
                   "Connection: close\r\n\r\n");
   // The caller does not read: the admitting daemon must stop reading too.
   CHECK(WaitFor([&] { return Sum(test, "answer_pauses_total") >= 1; }));
-  CHECK(Sum(test, "peer_sent_bytes") < kAnswerBytes / 2.0);
+  CHECK(Sum(test, "peer_sent_bytes_total") < kAnswerBytes / 2.0);
   // Other callers are served meanwhile.
   CHECK(test.Processes().Get(test.Processes().Callers(1), "/proofs/8").status ==
         200);
