--- a/Source/Kernel/url_query.cc
+++ b/Source/Kernel/url_query.cc
@@ -59,11 +59,11 @@
   return url;
 }
 
-std::string PercentEncode(std::string_view text) {
+std::string PercentEncode(std::string_view text, std::string_view kept) {
   constexpr std::string_view kHex = "0123456789ABCDEF";
   std::string encoded;
   for (const char c : text) {
-    if (IsUnreserved(c)) {
+    if (IsUnreserved(c) || kept.find(c) != std::string_view::npos) {
       encoded.push_back(c);
       continue;
     }
--- a/Source/Kernel/url_query.h
+++ b/Source/Kernel/url_query.h
@@ -19,7 +19,7 @@
 /// Splits and percent-decodes `target`.
 Url ParseUrl(std::string_view target);
 
-/// Percent-encodes everything but unreserved characters.
-std::string PercentEncode(std::string_view text);
+/// Percent-encodes everything but unreserved characters and those in `kept`.
+std::string PercentEncode(std::string_view text, std::string_view kept = {});
 
 }  // namespace buckthorncart
--- a/Source/Net/http_headers.cc
+++ b/Source/Net/http_headers.cc
@@ -3,6 +3,8 @@
 #include <array>
 #include <string>
 
+#include "Kernel/url_query.h"
+
 namespace buckthorncart {
 namespace {
 
@@ -47,26 +49,10 @@
 constexpr const char* kMethods[] = {"GET",   "POST",   "OPTIONS", "PUT",
                                     "PATCH", "DELETE", "CONNECT", "HEAD"};
 
-bool IsPathCharacter(char c) {
-  constexpr std::string_view kAllowed = "-_.~/:@!$&'()*+,;=";
-  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-         kAllowed.find(c) != std::string_view::npos;
-}
-
+/// The library hands out paths and queries decoded; they are passed on encoded.
 std::string Encode(std::string_view text) {
-  constexpr std::string_view kHex = "0123456789ABCDEF";
-  std::string encoded;
-  for (const char c : text) {
-    if (IsPathCharacter(c)) {
-      encoded.push_back(c);
-      continue;
-    }
-    const auto byte = static_cast<unsigned char>(c);
-    encoded.push_back('%');
-    encoded.push_back(kHex[byte >> 4U]);
-    encoded.push_back(kHex[byte & 0xFU]);
-  }
-  return encoded;
+  constexpr std::string_view kPathCharacters = "/:@!$&'()*+,;=";
+  return PercentEncode(text, kPathCharacters);
 }
 
 std::string ReadCustom(lws* wsi, const std::string& name_with_colon) {
--- a/Source/Plugins/admission.h
+++ b/Source/Plugins/admission.h
@@ -113,3 +113,4 @@
 }  // namespace buckthorncart
 
 #include "Plugins/admission_inl.h"
+#include "Plugins/admission_runs_inl.h"
--- /dev/null
+++ b/Source/Plugins/admission_runs_inl.h
@@ -0,0 +1,142 @@
+#pragma once
+/// \file
+/// Definitions of `Admission` about the ends of runs: answers, cancellations
+/// and deadlines; include admission.h.
+
+#include <utility>
+#include <vector>
+
+#include "Kernel/context.h"
+#include "Kernel/crash_register.h"
+#include "Plugins/admission.h"
+#include "Plugins/call_failure.h"
+
+namespace buckthorncart {
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleAnswer(Context& ctx,
+                                    const BackendAnswered& answered) {
+  const auto it = runs_.find(answered.run);
+  if (it == runs_.end()) return;
+  Run& run = it->second;
+  const auto [peer, id] = run.key;
+  if (answered.fault == BackendFault::kNotConnected) {
+    EndRun(ctx, answered.run);
+    Refuse(ctx, {peer, id}, Errc::kBackendServerFailed);
+    StartQueued(ctx);
+    return;
+  }
+  if (!run.head_sent && IsShed(answered.part)) {
+    HandleShed(ctx, answered.run);
+    return;
+  }
+  const bool broken = answered.fault == BackendFault::kConnectionBroken;
+  if (broken && !run.head_sent) {
+    counters_.Add(AdmissionCounter::kBroken);
+    const bool suspect =
+        ctx.Shared().crashes->NoteBreak(ctx, run.call.fingerprint);
+    ctx.Send(peer, CallFailed{id, suspect ? Errc::kCrashGuard
+                                          : Errc::kBackendServerFailed});
+  } else {
+    AnswerPart part = answered.part;
+    if (broken) part.end = AnswerEnd::kBroken;
+    SendPart(ctx, run, std::move(part));
+  }
+  if (!broken && answered.part.end == AnswerEnd::kMore) return;
+  counters_.Add(AdmissionCounter::kCompleted);
+  if (!broken) {
+    ctx.Shared().crashes->NoteSuccess(ctx, run.call.fingerprint);
+    shed_limit_.NoteAnswer(backend_.slots);
+    TimeOf(run).Note(ctx.Now() - run.started_at, ctx.Now());
+  }
+  EndRun(ctx, answered.run);
+  StartQueued(ctx);
+}
+
+/// True for an answer by which the backend server says that it did not run
+/// the request.
+template <RequestRules Rules>
+bool Admission<Rules>::IsShed(const AnswerPart& part) {
+  return Rules::kTakeShedAsNotRun && IsShedAnswer(part);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleShed(Context& ctx, uint64_t number) {
+  counters_.Add(AdmissionCounter::kShed);
+  const CallKey key = runs_.at(number).key;
+  EndRun(ctx, number);
+  shed_limit_.NoteShed(ctx.Now(), slots_in_use_);
+  Refuse(ctx, key, Errc::kOverloaded);
+  StartQueued(ctx);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::SendPart(Context& ctx, Run& run, AnswerPart part) {
+  run.head_sent = true;
+  const auto [peer, id] = run.key;
+  ctx.Send(peer,
+           CallAnswer{id, std::move(part), LoadPerMille(ctx), ++run.parts});
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleCancel(Context& ctx, Address from, uint64_t id) {
+  const auto it = run_of_call_.find({from, id});
+  if (it == run_of_call_.end()) return;
+  const uint64_t number = it->second;
+  counters_.Add(AdmissionCounter::kCancelled);
+  const Run& run = runs_.at(number);
+  if (run.started) {
+    ctx.Emit(CancelBackend{number});
+    TimeOf(run).NoteAtLeast(ctx.Now() - run.started_at, ctx.Now());
+  }
+  EndRun(ctx, number);
+  StartQueued(ctx);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandlePeerLost(Context& ctx, Address peer) {
+  std::vector<uint64_t> ids;
+  for (const auto& [key, number] : run_of_call_) {
+    if (key.first == peer && runs_.at(number).call.repeatable) {
+      ids.push_back(key.second);
+    }
+  }
+  for (const uint64_t id : ids) HandleCancel(ctx, peer, id);
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::HandleDeadline(Context& ctx, uint64_t number) {
+  const auto it = runs_.find(number);
+  if (it == runs_.end()) return;
+  if (it->second.started) {
+    CancelStarted(ctx, number);
+    return;
+  }
+  if (it->second.awaiting_claim) return;
+  counters_.Add(AdmissionCounter::kExpiredInQueue);
+  const CallKey key = it->second.key;
+  EndRun(ctx, number);
+  Refuse(ctx, key, Errc::kDeadlineExpired);
+}
+
+/// Ends a run past its deadline. An unrepeatable one goes on, so that its
+/// outcome becomes known.
+template <RequestRules Rules>
+void Admission<Rules>::CancelStarted(Context& ctx, uint64_t number) {
+  Run& run = runs_.at(number);
+  if (!Rules::kCancelExpired || !run.call.repeatable) return;
+  counters_.Add(AdmissionCounter::kCancelled);
+  ctx.Emit(CancelBackend{number});
+  TimeOf(run).NoteAtLeast(ctx.Now() - run.started_at, ctx.Now());
+  if (run.head_sent) {
+    AnswerPart part;
+    part.end = AnswerEnd::kBroken;
+    SendPart(ctx, run, std::move(part));
+  } else {
+    ctx.Send(run.key.first, CallFailed{run.key.second, Errc::kDeadlineExpired});
+  }
+  EndRun(ctx, number);
+  StartQueued(ctx);
+}
+
+}  // namespace buckthorncart
--- a/Source/Plugins/call_failure.cc
+++ b/Source/Plugins/call_failure.cc
@@ -27,6 +27,12 @@
   }
 }
 
+bool IsFinalRefusal(Errc reason) {
+  return reason == Errc::kIdempotencyKeyReused ||
+         reason == Errc::kPlatformUnavailable ||
+         reason == Errc::kPlatformAnswerLost || reason == Errc::kCrashGuard;
+}
+
 bool IsShedAnswer(const AnswerPart& part) {
   constexpr uint16_t kServiceUnavailable = 503;
   return part.status == kServiceUnavailable &&
--- a/Source/Plugins/call_failure.h
+++ b/Source/Plugins/call_failure.h
@@ -10,6 +10,10 @@
 /// HTTP status for a call that failed with `reason`.
 uint16_t CallStatusOf(Errc reason, Outcome outcome);
 
+/// True when another daemon would refuse for the same reason, so that a retry
+/// is pointless.
+bool IsFinalRefusal(Errc reason);
+
 /// True for a head by which a backend server says that it did not run the
 /// request: status 503 with the outcome "not-run".
 bool IsShedAnswer(const AnswerPart& part);
--- a/Source/Plugins/change_submission_inl.h
+++ b/Source/Plugins/change_submission_inl.h
@@ -33,13 +33,6 @@
                    RefusedJson(operation.id, *failure).dump() + "\n");
     return;
   }
-  if (url.Get("dry-run") == "yes") {
-    const nlohmann::ordered_json body = {{"result", "would-accept"},
-                                         {"base", ctx.Shared().held->version},
-                                         {"edits", operation.edits.size()}};
-    ctx.AnswerJson(request.request, 200, body.dump() + "\n");
-    return;
-  }
   const Duration limit =
       std::chrono::milliseconds(ctx.Settings().decision_timeout_ms);
   operation.deadline = ctx.Now() + limit;
@@ -74,6 +67,10 @@
                    "1 to 64 of a-z A-Z 0-9 - _ .",
                    "choose another operation id"};
   }
+  if (url.query.contains("dry-run")) {
+    return Failure{Errc::kInvalidValue, "dry-run", "POST /v1/preview",
+                   "send the statements there; nothing was changed"};
+  }
   if (Rules::kWaitUntilReady && !ctx.Shared().ready) {
     return Failure{Errc::kNotReady, "daemon " + ctx.Settings().self.ToString(),
                    "a daemon that holds the current configuration",
@@ -89,12 +86,6 @@
   operation.edits = std::move(change->edits);
   operation.edits_digest = DigestOf(Encode(operation.edits));
   if (auto failure = ParseBase(ctx, url, operation)) return failure;
-  if (url.Get("dry-run") == "yes") {
-    if (auto conflict = FindConflict(ctx, operation)) return conflict;
-    auto result = ApplyEdits(ctx.Shared().held->configuration, operation.edits);
-    if (!result) return ExplainInvalid(ctx, operation, result.error());
-    return std::nullopt;
-  }
   if (waiting_.size() < kMaxWaitingOperations) return std::nullopt;
   return Failure{Errc::kQueueFull, "changes",
                  std::to_string(kMaxWaitingOperations) + " waiting at most",
--- a/Source/Plugins/claim_row.cc
+++ b/Source/Plugins/claim_row.cc
@@ -23,10 +23,4 @@
   return bytes;
 }
 
-bool IsFinalRefusal(Errc reason) {
-  return reason == Errc::kIdempotencyKeyReused ||
-         reason == Errc::kPlatformUnavailable ||
-         reason == Errc::kPlatformAnswerLost || reason == Errc::kCrashGuard;
-}
-
 }  // namespace buckthorncart
--- a/Source/Plugins/claim_row.h
+++ b/Source/Plugins/claim_row.h
@@ -38,8 +38,4 @@
 /// Bytes that an answer takes in a row.
 size_t AnswerBytes(const AnswerPart& answer);
 
-/// True when another daemon would refuse for the same reason, so that a retry
-/// is pointless.
-bool IsFinalRefusal(Errc reason);
-
 }  // namespace buckthorncart
--- a/Source/Plugins/receiving_attempts_inl.h
+++ b/Source/Plugins/receiving_attempts_inl.h
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "Plugins/call_failure.h"
-#include "Plugins/claim_row.h"
 #include "Plugins/receiving.h"
 
 namespace buckthorncart {
--- a/Tests/Configuration/acceptance_test.cc
+++ b/Tests/Configuration/acceptance_test.cc
@@ -53,6 +53,14 @@
   CHECK(test.Apply(2, "create service a")["version"] == 1);
 }
 
+TEST_CASE("acceptance: a dry run is refused here, never carried out") {
+  ThreeDaemons test;
+  const auto answer = test.Apply(1, kCreate, "dry-run=yes");
+  CHECK(answer["result"] == "refused");
+  CHECK(answer["error"] == "invalid-value");
+  CHECK(test.fleet.At(1).Version() == 0);
+}
+
 TEST_CASE("acceptance: the same operation twice is accepted once") {
   ThreeDaemons test;
   const auto first = test.Apply(1, kCreate, "operation=spring");
--- a/Tests/Configuration/start_test.cc
+++ b/Tests/Configuration/start_test.cc
@@ -289,7 +289,8 @@
   run.test.fleet.Thaw(1);
   const auto answer = nlohmann::json::parse(
       run.test.fleet.Ask(1, "POST", "/v1/changes", "create service c"));
-  CHECK(answer["error"] != "not-ready");
+  CHECK(answer.contains("result"));
+  CHECK(answer.value("error", "") != "not-ready");
 }
 
 TEST_CASE("freeze: of all at once with the platform down ends") {
--- a/Utilities/SpreadingBench/bench_fleet.cc
+++ b/Utilities/SpreadingBench/bench_fleet.cc
@@ -168,8 +168,8 @@
 DaemonUsage BenchFleet::UsageOf(uint32_t n, const std::string& metrics) const {
   const auto it = processes_.find("daemon-" + std::to_string(n));
   if (it == processes_.end()) return {};
-  return {MetricOf(metrics, "control_sent_bytes_total"), CpuSecondsOf(it->second),
-          ResidentBytesOf(it->second)};
+  return {MetricOf(metrics, "control_sent_bytes_total"),
+          CpuSecondsOf(it->second), ResidentBytesOf(it->second)};
 }
 
 void RunExchanges(std::vector<Exchange>& exchanges, Duration limit) {
