Read the fleet's own figures in the demonstration

Cause: in-force now lists figures for each data centre under the same names, and the script took the last of them: '1 of 1 daemons' with three running.

Ruled out: a fault of in-force; its own line said 3 of 3.

Before: 'version 1 in force on 1 of 1 daemons'; after: '3 of 3', 799 of 799 requests answered whole (./bootstrap demo).

--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -67,7 +67,8 @@
 wait "$load"
 cat "$work/load.json"
 
-field() { sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p" "$2"; }
+# The first value of a field; data centres have fields of the same names later.
+field() { grep -o "\"$1\":[0-9]*" "$2" | head -n 1 | cut -d: -f2; }
 wait_for '[ "$(tool daemons 2>/dev/null | grep -c "alive.*ready")" = 3 ]' "three daemons again"
 tool in-force --wait 10
 tool --format json in-force --wait 10 > "$work/in_force.json"
