--- a/Source/Config/configuration.cc
+++ b/Source/Config/configuration.cc
@@ -29,6 +29,11 @@
   return prefix.back() == '/' || path[prefix.size()] == '/';
 }
 
+/// "name:80" as "name".
+std::string_view WithoutPort(std::string_view host) {
+  return host.substr(0, host.find(':'));
+}
+
 Failure UnknownService(const std::string& object, const std::string& service) {
   return {Errc::kUnknownService, object + " -> service " + service,
           "the name of an existing service",
@@ -57,9 +62,7 @@
   }
   std::map<std::string, std::string> route_by_path;
   for (const auto& [name, route] : routes) {
-    if (!services.contains(route.service)) {
-      failures.push_back(UnknownService("route " + name, route.service));
-    }
+    CheckServices(route, failures);
     if (route.path.empty() || route.path.front() != '/') {
       failures.push_back({Errc::kInvalidValue, "route " + name + " path",
                           "a path that starts with /", "write path=/name"});
@@ -68,7 +71,7 @@
       failures.push_back({Errc::kInvalidValue, "route " + name + " timeout",
                           "1ms to 1h", "write for example timeout=500ms"});
     }
-    const auto [it, inserted] = route_by_path.emplace(route.path, name);
+    const auto [it, inserted] = route_by_path.emplace(route.host + route.path, name);
     if (inserted) continue;
     failures.push_back({Errc::kDuplicateObject,
                         "route " + name + " path " + route.path,
@@ -88,13 +91,35 @@
   return failures;
 }
 
-const Route* Configuration::FindRoute(std::string_view path) const {
+void Configuration::CheckServices(const Route& route,
+                                  std::vector<Failure>& failures) const {
+  if (route.split.empty() && !services.contains(route.service)) {
+    failures.push_back(UnknownService("route " + route.name, route.service));
+  }
+  uint64_t sum = 0;
+  for (const WeightedService& part : route.split) {
+    sum += part.weight;
+    if (services.contains(part.service)) continue;
+    failures.push_back(UnknownService("route " + route.name, part.service));
+  }
+  if (route.split.empty() || sum > 0) return;
+  failures.push_back({Errc::kInvalidValue, "route " + route.name + " split",
+                      "a weight above 0", "write split=a:90,b:10"});
+}
+
+const Route* Configuration::FindRoute(std::string_view host,
+                                      std::string_view path) const {
   path = path.substr(0, path.find('?'));
+  host = WithoutPort(host);
   const Route* best = nullptr;
   for (const auto& [name, route] : routes) {
+    if (!route.host.empty() && route.host != host) continue;
     if (!IsPrefixOnBoundary(route.path, path)) continue;
-    if (best != nullptr && best->path.size() >= route.path.size()) continue;
-    best = &route;
+    const bool worse = best != nullptr &&
+                       (best->host.empty() == route.host.empty()
+                            ? best->path.size() >= route.path.size()
+                            : route.host.empty());
+    if (!worse) best = &route;
   }
   return best;
 }
--- a/Source/Config/configuration.h
+++ b/Source/Config/configuration.h
@@ -34,8 +34,8 @@
   std::vector<Failure> Validate() const;
 
   /// Route with the longest path that is a prefix of `path` on a segment
-  /// boundary, or null.
-  const Route* FindRoute(std::string_view path) const;
+  /// boundary, among those of `host` or else those of every host; or null.
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
 
   /// True if the rules let requests of `request_class` to `service` run on a
   /// backend server in `data_centre` that carries `labels`.
@@ -44,6 +44,9 @@
               const std::map<std::string, std::string>& labels) const;
 
   MSGPACK_DEFINE(services, routes, rules)
+
+ private:
+  void CheckServices(const Route& route, std::vector<Failure>& failures) const;
 };
 
 }  // namespace buckthorncart
--- a/Source/Config/edit.cc
+++ b/Source/Config/edit.cc
@@ -1,5 +1,7 @@
 #include "Config/edit.h"
 
+#include <algorithm>
+
 #include "Config/configuration.h"
 #include "Config/value_parsers.h"
 
@@ -73,7 +75,50 @@
   return UnknownKey(edit, a, "availability | latency | latency-share");
 }
 
+/// "a:90,b:10".
+std::optional<std::vector<WeightedService>> ParseSplit(std::string_view text) {
+  std::vector<WeightedService> split;
+  while (!text.empty()) {
+    const std::string_view item = text.substr(0, text.find(','));
+    text.remove_prefix(std::min(item.size() + 1, text.size()));
+    const size_t colon = item.find(':');
+    if (colon == std::string_view::npos) return std::nullopt;
+    const auto weight = ParseCount(item.substr(colon + 1));
+    if (!IsName(item.substr(0, colon)) || !weight) return std::nullopt;
+    split.push_back({std::string(item.substr(0, colon)), *weight});
+  }
+  return split;
+}
+
+/// Keys of a route that say how its requests are handled.
+AssignResult AssignHandling(const Edit& edit, const Assignment& a,
+                            Route& route) {
+  constexpr const char* kExpectedCount = "a whole number up to 1000000";
+  if (a.key == "attempts") {
+    return Store(edit, a, ParseCount(a.value), route.max_attempts,
+                 kExpectedCount);
+  }
+  if (a.key == "priority") {
+    return Store(edit, a, ParseCount(a.value), route.priority, kExpectedCount);
+  }
+  if (a.key == "target-latency") {
+    return Store(edit, a, ParseMilliseconds(a.value), route.target_latency_ms,
+                 kExpectedTime);
+  }
+  return UnknownKey(edit, a,
+                    "path | host | service | split | class | repeatable | "
+                    "timeout | attempts | priority | target-latency");
+}
+
 AssignResult Assign(const Edit& edit, const Assignment& a, Route& route) {
+  if (a.key == "host") {
+    return Store(edit, a, ParseOptionalName(a.value), route.host,
+                 kExpectedName);
+  }
+  if (a.key == "split") {
+    return Store(edit, a, ParseSplit(a.value), route.split,
+                 "NAME:WEIGHT,NAME:WEIGHT");
+  }
   if (a.key == "path") {
     return Store(edit, a, ParsePath(a.value), route.path,
                  "a path that starts with /");
@@ -93,7 +138,7 @@
     return Store(edit, a, ParseMilliseconds(a.value), route.timeout_ms,
                  kExpectedTime);
   }
-  return UnknownKey(edit, a, "path | service | class | repeatable | timeout");
+  return AssignHandling(edit, a, route);
 }
 
 constexpr std::string_view kLabelPrefix = "label.";
@@ -196,7 +241,9 @@
                      "delete or move " + user + " in the same change"};
     };
     for (const auto& [name, route] : result.routes) {
-      if (route.service == edit.name) return in_use("route " + name);
+      if (route.split.empty() && route.service == edit.name) {
+        return in_use("route " + name);
+      }
     }
     for (const auto& [name, rule] : result.rules) {
       if (rule.service == edit.name) return in_use("rule " + name);
--- a/Source/Config/objects.h
+++ b/Source/Config/objects.h
@@ -7,6 +7,7 @@
 #include <msgpack.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "Base/enum_names.h"
 
@@ -40,20 +41,48 @@
   MSGPACK_DEFINE(name, availability_ppm, latency_ms, latency_ppm)
 };
 
-/// Maps requests whose path starts with `path` to a service.
+/// A service that takes a share of a route's requests.
+struct WeightedService {
+  std::string service;
+  /// Share, relative to the sum over the route's services.
+  uint32_t weight = 0;
+
+  bool operator==(const WeightedService&) const = default;
+  MSGPACK_DEFINE(service, weight)
+};
+
+/// Maps requests for a host whose path starts with `path` to a service.
 struct Route {
   std::string name;
   std::string path;
+  /// Empty when `split` names the services.
   std::string service;
   RequestClass request_class = RequestClass::kInteractive;
-  /// False for requests that may run at most once; their callers must name
-  /// them with `Idempotency-Key`.
+  /// False for requests that may run at most once.
   bool repeatable = true;
   /// Deadline of requests whose caller gives none, milliseconds.
   uint32_t timeout_ms = 5'000;
+  /// Host of the requests; empty for every host.
+  std::string host;
+  /// Services that share the requests by weight; empty for `service` alone.
+  std::vector<WeightedService> split;
+  /// Backend servers that may get one call; 0 for the daemon's setting.
+  uint32_t max_attempts = 0;
+  /// Time within which an answer is of full use, milliseconds; 0 for none.
+  uint32_t target_latency_ms = 0;
+  /// Rank among the requests of a service; 0 goes first.
+  uint32_t priority = 0;
+  /// An unrepeatable request is named by its `Idempotency-Key`, so that it
+  /// runs once however often it is sent. Otherwise each sending may run once.
+  bool named_by_key = true;
+  /// No caller is kept waiting for longer than `timeout_ms`, whatever deadline
+  /// it gives.
+  bool caps_deadline = false;
 
   bool operator==(const Route&) const = default;
-  MSGPACK_DEFINE(name, path, service, request_class, repeatable, timeout_ms)
+  MSGPACK_DEFINE(name, path, service, request_class, repeatable, timeout_ms,
+                 host, split, max_attempts, target_latency_ms, priority,
+                 named_by_key, caps_deadline)
 };
 
 /// Restricts which backend servers of a service may take which requests.
--- a/Source/Config/value_parsers.cc
+++ b/Source/Config/value_parsers.cc
@@ -63,6 +63,15 @@
   return ppm + scaled;
 }
 
+std::optional<uint32_t> ParseCount(std::string_view text) {
+  constexpr uint32_t kMaxCount = 1'000'000;
+  uint32_t n = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, ec] = std::from_chars(text.data(), end, n);
+  if (ec != std::errc() || stop != end || n > kMaxCount) return std::nullopt;
+  return n;
+}
+
 bool IsName(std::string_view text) {
   if (text.empty() || text.size() > kMaxNameLength) return false;
   return std::all_of(text.begin(), text.end(), IsNameCharacter);
--- a/Source/Config/value_parsers.h
+++ b/Source/Config/value_parsers.h
@@ -15,6 +15,9 @@
 /// "99.95" (per cent, up to four decimals) as millionths.
 std::optional<uint32_t> ParseShare(std::string_view text);
 
+/// A whole number from 0 to 1000000.
+std::optional<uint32_t> ParseCount(std::string_view text);
+
 /// Names of objects, data centres and labels: letters, digits, `-`, `_`, `.`;
 /// 1 to 64 characters.
 bool IsName(std::string_view text);
--- /dev/null
+++ b/Source/Daemon/daemon_process.cc
@@ -0,0 +1,75 @@
+#include "Daemon/daemon_process.h"
+
+#include <iostream>
+#include <utility>
+
+#include "Base/version.h"
+#include "Kernel/plugin_registry.h"
+#include "Kernel/trace.h"
+
+namespace buckthorncart {
+
+DaemonProcess::DaemonProcess(std::string program,
+                             const DaemonSettings& settings,
+                             HttpTranslator& translator)
+    : program_(std::move(program)),
+      settings_(settings),
+      loop_(settings.fd_limit),
+      log_(settings.log_format, settings.log_level),
+      kernel_(settings.kernel,
+              PluginRegistry::Instance().CreateAll(settings.kernel)),
+      driver_(loop_, settings_.driver, kernel_, Loop::WallMilliseconds(), log_,
+              translator) {}
+
+PlatformReplyHandler DaemonProcess::ReplyHandler() {
+  return [this](uint64_t tag, PlatformReply reply) {
+    if (!std::exchange(platform_heard_, true)) WarnIfUnreachable(reply.status);
+    driver_.Dispatch(PlatformReplied{tag, std::move(reply)});
+  };
+}
+
+int DaemonProcess::Run(PlatformSubmit platform) {
+  driver_.UsePlatform(std::move(platform));
+  if (!settings_.trace_path.empty()) {
+    auto trace = TraceWriter::Open(settings_.trace_path, settings_.kernel);
+    if (!trace) {
+      Failure failure = trace.error();
+      failure.subject = "--trace " + settings_.trace_path;
+      return Report(failure);
+    }
+    driver_.RecordTo(std::move(*trace));
+  }
+  const Result<void> opened = driver_.Open();
+  if (!opened) return Report(opened.error());
+  loop_.OnShutdownSignal([this] { driver_.Dispatch(ShutdownRequested{}); });
+  log_.Write({LogTopic::kStarted,
+              {{"version", std::string(kVersion)},
+               {"peer", settings_.kernel.self.ToString()},
+               {"callers", settings_.driver.callers.ToString()},
+               {"operators", settings_.driver.operators.ToString()}},
+              LogLevel::kInfo});
+  driver_.Start();
+  loop_.Run();
+  return 0;
+}
+
+int DaemonProcess::Report(const Failure& failure) {
+  loop_.Close();
+  std::cerr << program_ << ": " << failure.Describe() << '\n';
+  return kFailureStatus;
+}
+
+void DaemonProcess::WarnIfUnreachable(PlatformStatus status) const {
+  if (status != PlatformStatus::kUnavailable &&
+      status != PlatformStatus::kUnknown) {
+    return;
+  }
+  log_.Write({LogTopic::kPlatformState,
+              {{"state", "unreachable"},
+               {"setting", "--platform http://" + settings_.platform.ToString()},
+               {"expected", "the address of the running platform"},
+               {"advice", "correct --platform or start the platform"}},
+              LogLevel::kWarning});
+}
+
+}  // namespace buckthorncart
--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -99,7 +99,7 @@
   DaemonSettings settings_;
   uint32_t fd_limit_ = 2'048;
   uint32_t body_limit_ = 1U << 20U;
-  uint32_t header_limit_ = kDefaultHeaderBytes;
+  uint32_t header_limit_ = HttpLimits{}.head_bytes;
   uint32_t connection_limit_ = 2'048;
 };
 
@@ -294,8 +294,8 @@
     settings_.platform = *address;
   }
   settings_.fd_limit = static_cast<int>(fd_limit_);
-  settings_.header_bytes = header_limit_;
-  settings_.driver.limits.body_bytes = body_limit_;
+  settings_.driver.limits.message.head_bytes = header_limit_;
+  settings_.driver.limits.message.body_bytes = body_limit_;
   settings_.driver.limits.connections = connection_limit_;
   settings_.kernel.seed = std::random_device{}();
   Result<void> named = CheckAddressesDiffer(settings_);
--- a/Source/Daemon/daemon_settings.h
+++ b/Source/Daemon/daemon_settings.h
@@ -22,7 +22,6 @@
   LogFormat log_format = LogFormat::kText;
   LogLevel log_level = LogLevel::kInfo;
   int fd_limit = 2'048;
-  uint32_t header_bytes = 0;
   /// Check the settings and exit.
   bool check = false;
 };
--- a/Source/Kernel/effect.h
+++ b/Source/Kernel/effect.h
@@ -98,6 +98,7 @@
   kCrashGuard,
   kPeerFault,
   kEjected,
+  kReloaded,
 };
 
 template <>
@@ -106,7 +107,7 @@
       "started",       "floor-known",   "version-held",   "version-held-back",
       "member-status", "backend-state", "platform-state", "operation",
       "frozen",        "draining",      "drained",        "crash-guard",
-      "peer-fault",    "ejected"};
+      "peer-fault",    "ejected",       "reloaded"};
 };
 
 enum class LogLevel : uint8_t { kInfo, kWarning };
--- a/Source/Kernel/kernel_settings.h
+++ b/Source/Kernel/kernel_settings.h
@@ -35,12 +35,28 @@
   kUniform,
   /// The one of two random ones that is expected to answer first.
   kLeastTime,
+  /// The one of the own data centre that is expected to begin first, and one
+  /// of another data centre where that saves more than the way costs.
+  kNearest,
 };
 
 template <>
 struct EnumNames<ChoicePolicy> {
   static constexpr std::string_view kNames[] = {"two-random", "uniform",
-                                                "least-time"};
+                                                "least-time", "nearest"};
+};
+
+/// Where configurations come from.
+enum class ConfigurationSource : uint8_t {
+  /// Operators hand changes to daemons, which accept or refuse them.
+  kAccepted,
+  /// Operators write whole configurations to the platform; daemons follow.
+  kFollowed,
+};
+
+template <>
+struct EnumNames<ConfigurationSource> {
+  static constexpr std::string_view kNames[] = {"accepted", "followed"};
 };
 
 struct KernelSettings {
@@ -90,16 +106,38 @@
   /// Bytes of one answer that may be on their way between two daemons.
   uint32_t answer_window_bytes = 512U << 10U;
 
+  // Configuration, continued.
+  ConfigurationSource source = ConfigurationSource::kAccepted;
+  /// Longest wait of the platform for a change of the configuration.
+  uint32_t watch_wait_ms = 20'000;
+
+  // Requests, continued.
+  /// Service of the backend server beside this daemon, as told to the backend
+  /// servers that get its calls; empty to leave it to the announcements.
+  std::string caller_service;
+  /// Silence after which the backend server beside this daemon is absent.
+  uint32_t backend_lease_ms = 3'000;
+  /// Retries that a quiet period can save up.
+  uint32_t retry_reserve = 10;
+
+  // Shutdown.
+  /// Longest time from the request to end until the exit; calls may last that
+  /// long.
+  uint32_t drain_limit_ms = 3'600'000;
+
   MSGPACK_DEFINE(self, data_centre, peers, backend, seed, spreading,
                  spreading_fanout, holders_timeout_ms, decision_timeout_ms,
                  head_read_interval_ms, snapshot_every, probe_period_ms,
                  probe_timeout_ms, suspicion_ms, peer_timeout_ms, queue_limit,
                  max_attempts, retry_budget_percent, backend_timeout_ms,
                  slow_start_ms, platform_timeout_ms, platform_queue_limit,
-                 platform_concurrency, choice, answer_window_bytes)
+                 platform_concurrency, choice, answer_window_bytes, source,
+                 watch_wait_ms, caller_service, backend_lease_ms, retry_reserve,
+                 drain_limit_ms)
 };
 
 }  // namespace buckthorncart
 
 MSGPACK_ADD_ENUM(buckthorncart::Spreading)
 MSGPACK_ADD_ENUM(buckthorncart::ChoicePolicy)
+MSGPACK_ADD_ENUM(buckthorncart::ConfigurationSource)
--- a/Source/Kernel/plugin_registry.cc
+++ b/Source/Kernel/plugin_registry.cc
@@ -10,8 +10,9 @@
   return registry;
 }
 
-void PluginRegistry::Add(PluginRank rank, Factory factory) {
-  entries_.push_back({rank, std::move(factory)});
+void PluginRegistry::Add(PluginRank rank, Factory factory,
+                         std::optional<ConfigurationSource> only_for) {
+  entries_.push_back({rank, std::move(factory), only_for});
 }
 
 std::vector<std::unique_ptr<Plugin>> PluginRegistry::CreateAll(
@@ -22,13 +23,18 @@
       [](const Entry& a, const Entry& b) { return a.rank < b.rank; });
   std::vector<std::unique_ptr<Plugin>> plugins;
   plugins.reserve(sorted.size());
-  for (const Entry& entry : sorted) plugins.push_back(entry.factory(settings));
+  for (const Entry& entry : sorted) {
+    if (entry.only_for && *entry.only_for != settings.source) continue;
+    plugins.push_back(entry.factory(settings));
+  }
   return plugins;
 }
 
 PluginRegistration::PluginRegistration(PluginRank rank,
-                                       PluginRegistry::Factory factory) {
-  PluginRegistry::Instance().Add(rank, std::move(factory));
+                                       PluginRegistry::Factory factory,
+                                       std::optional<ConfigurationSource>
+                                           only_for) {
+  PluginRegistry::Instance().Add(rank, std::move(factory), only_for);
 }
 
 }  // namespace buckthorncart
--- a/Source/Kernel/plugin_registry.h
+++ b/Source/Kernel/plugin_registry.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -33,8 +34,11 @@
   using Factory = std::function<std::unique_ptr<Plugin>(const KernelSettings&)>;
 
   static PluginRegistry& Instance();
-  void Add(PluginRank rank, Factory factory);
-  /// New plug-ins of every kind, by rank.
+  /// A plug-in that is `only_for` one source of configurations is left out of
+  /// daemons with another.
+  void Add(PluginRank rank, Factory factory,
+           std::optional<ConfigurationSource> only_for);
+  /// New plug-ins of every kind that fits the settings, by rank.
   std::vector<std::unique_ptr<Plugin>> CreateAll(
       const KernelSettings& settings) const;
 
@@ -42,6 +46,7 @@
   struct Entry {
     PluginRank rank;
     Factory factory;
+    std::optional<ConfigurationSource> only_for;
   };
   std::vector<Entry> entries_;
 };
@@ -49,7 +54,8 @@
 /// A namespace-scope object of this type registers a plug-in.
 class PluginRegistration {
  public:
-  PluginRegistration(PluginRank rank, PluginRegistry::Factory factory);
+  PluginRegistration(PluginRank rank, PluginRegistry::Factory factory,
+                     std::optional<ConfigurationSource> only_for = {});
 };
 
 }  // namespace buckthorncart
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -1,19 +1,23 @@
 #pragma once
 /// \file
-/// HTTP client on libwebsockets.
-
-#include <libwebsockets.h>
+/// HTTP/1.1 client that keeps connections for reuse.
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "Base/address.h"
 #include "Base/result.h"
+#include "Base/time.h"
 #include "Kernel/event.h"
 #include "Net/loop.h"
+#include "Net/tcp_host.h"
 #include "Wire/http.h"
+#include "Wire/http_limits.h"
 
 namespace buckthorncart {
 
@@ -21,56 +25,59 @@
 using HttpAnswerHandler =
     std::function<void(uint64_t id, AnswerPart part, BackendFault fault)>;
 
+struct HttpClientSettings {
+  HttpLimits limits;
+  /// Time for a connection to open.
+  Duration connect_timeout = 1s;
+  /// Answers up to this size are handed on whole, in one part; 0 hands on what
+  /// arrives.
+  size_t whole_answer_bytes = 0;
+  /// Header by which an answer names its request, in lower case; empty if
+  /// answers name none. An answer that names another request is dropped.
+  std::string request_id_header;
+};
+
 class HttpClient {
  public:
-  HttpClient(Loop& loop, HttpAnswerHandler handler);
+  HttpClient(Loop& loop, HttpAnswerHandler handler,
+             HttpClientSettings settings = {});
+  ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// Must succeed before `Send`.
   Result<void> Open(const std::string& name);
 
-  /// Sends `request` on a connection of its own. The answer may arrive before
-  /// this returns.
-  void Send(uint64_t id, Address to, HttpRequest request);
+  /// Sends `request` on an idle connection or a new one. One that is not
+  /// `repeatable` stays off connections that the peer may be closing. The
+  /// answer never arrives before this returns.
+  void Send(uint64_t id, Address to, const HttpRequest& request,
+            bool repeatable = true);
   /// Stops or goes on reading the answer to request `id`.
   void SetReading(uint64_t id, bool reading);
   /// Closes the connection of request `id`; its handler hears no more.
   void Cancel(uint64_t id);
+  uint64_t ConnectionsOpened() const { return connections_opened_; }
 
  private:
-  struct Transaction {
-    HttpClient* client = nullptr;
-    uint64_t id = 0;
-    lws* wsi = nullptr;
-    HttpRequest request;
-    size_t body_offset = 0;
-    /// A byte of the request may have left.
-    bool sent = false;
-    bool head_seen = false;
-    /// The answer's framing tells where it ends.
-    bool framed = false;
-    bool ended = false;
-    bool cancelled = false;
-    bool paused = false;
-  };
+  class Connection;
 
-  static int Callback(lws* wsi, lws_callback_reasons reason, void* user,
-                      void* in, size_t len);
-  int HandleCallback(Transaction& transaction, lws_callback_reasons reason,
-                     void* in, size_t len);
-  int AppendHeaders(Transaction& transaction, unsigned char** p, size_t len);
-  int WriteBody(Transaction& transaction);
-  int HandleHead(Transaction& transaction);
-  int HandleReadable(Transaction& transaction);
-  void End(Transaction& transaction, BackendFault fault);
-  void Deliver(Transaction& transaction, AnswerPart part, BackendFault fault);
+  Connection* TakeIdle(Address to, bool repeatable);
+  Connection& Connect(Address to);
+  void KeepIdle(Connection& connection);
+  void Remove(Connection& connection);
 
   Loop& loop_;
   HttpAnswerHandler handler_;
-  lws_protocols protocols_[2];
-  lws_vhost* vhost_ = nullptr;
-  std::unordered_map<uint64_t, std::unique_ptr<Transaction>> transactions_;
+  HttpClientSettings settings_;
+  TcpHost host_;
+  std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+  /// Connections that have ended and may still be on the call stack.
+  std::vector<std::unique_ptr<Connection>> ended_;
+  std::unordered_map<uint64_t, Connection*> by_id_;
+  /// Idle connections, the one used last at the end.
+  std::map<Address, std::vector<Connection*>> idle_;
+  uint64_t connections_opened_ = 0;
 };
 
 }  // namespace buckthorncart
--- a/Source/Net/http_platform.cc
+++ b/Source/Net/http_platform.cc
@@ -15,15 +15,15 @@
 PlatformReply ReplyOf(uint16_t status, const std::string& body,
                       BackendFault fault) {
   if (fault == BackendFault::kNotConnected) {
-    return {PlatformStatus::kUnavailable, {}, {}};
+    return {PlatformStatus::kUnavailable, {}, {}, 0};
   }
-  if (fault != BackendFault::kNone) return {PlatformStatus::kUnknown, {}, {}};
+  if (fault != BackendFault::kNone) return {PlatformStatus::kUnknown, {}, {}, 0};
   if (status == kHttpUnavailable) {
-    return {PlatformStatus::kUnavailable, {}, {}};
+    return {PlatformStatus::kUnavailable, {}, {}, 0};
   }
-  if (status != kHttpOk) return {PlatformStatus::kUnknown, {}, {}};
+  if (status != kHttpOk) return {PlatformStatus::kUnknown, {}, {}, 0};
   auto reply = Decode<PlatformReply>(body);
-  if (!reply) return {PlatformStatus::kUnknown, {}, {}};
+  if (!reply) return {PlatformStatus::kUnknown, {}, {}, 0};
   return std::move(*reply);
 }
 
--- a/Source/Net/log_sink.cc
+++ b/Source/Net/log_sink.cc
@@ -13,11 +13,11 @@
 namespace buckthorncart {
 namespace {
 
-/// Sends the lines of the logging library to standard error.
-class StandardErrorDispatch : public el::LogDispatchCallback {
+/// Sends the lines of the logging library to standard output.
+class StandardOutputDispatch : public el::LogDispatchCallback {
  protected:
   void handle(const el::LogDispatchData* data) noexcept override {  // NOLINT
-    std::cerr << data->logMessage()->message() << '\n';
+    std::cout << data->logMessage()->message() << '\n';
   }
 };
 
@@ -38,8 +38,8 @@
   el::Loggers::reconfigureAllLoggers(configurations);
   el::Helpers::uninstallLogDispatchCallback<
       el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
-  el::Helpers::installLogDispatchCallback<StandardErrorDispatch>(
-      "StandardErrorDispatch");
+  el::Helpers::installLogDispatchCallback<StandardOutputDispatch>(
+      "StandardOutputDispatch");
 }
 
 void LogSink::Write(const LogChange& change) const {
--- a/Source/Net/loop.cc
+++ b/Source/Net/loop.cc
@@ -20,10 +20,11 @@
 constexpr unsigned kServiceBufferBytes = 65'536;
 
 volatile std::sig_atomic_t g_shutdown_requested = 0;
+volatile std::sig_atomic_t g_reload_requested = 0;
 lws_context* g_signalled_context = nullptr;
 
-void OnSignal(int /*signal*/) {
-  g_shutdown_requested = 1;
+void OnSignal(int signal) {
+  (signal == SIGHUP ? g_reload_requested : g_shutdown_requested) = 1;
   if (g_signalled_context != nullptr) lws_cancel_service(g_signalled_context);
 }
 
@@ -53,14 +54,13 @@
 
 }  // namespace
 
-Loop::Loop(int fd_limit, uint32_t header_bytes) {
+Loop::Loop(int fd_limit) {
   lws_set_log_level(0, nullptr);
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.protocols = kNoProtocols;
   info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
   info.fd_limit_per_thread = static_cast<unsigned>(fd_limit);
-  info.max_http_header_data = static_cast<unsigned short>(header_bytes);
   info.pt_serv_buf_size = kServiceBufferBytes;
   context_ = lws_create_context(&info);
   timer_.loop = this;
@@ -80,6 +80,10 @@
     ScheduleNext();
     if (lws_service(context_, 0) < 0) break;
     RunDueTasks();
+    if (g_reload_requested != 0 && on_reload_) {
+      g_reload_requested = 0;
+      on_reload_();
+    }
     if (g_shutdown_requested == 0 || !on_shutdown_) continue;
     g_shutdown_requested = 0;
     on_shutdown_();
@@ -105,6 +109,12 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+void Loop::OnReloadSignal(std::function<void()> handler) {
+  on_reload_ = std::move(handler);
+  g_signalled_context = context_;
+  std::signal(SIGHUP, OnSignal);
+}
+
 Time Loop::Now() {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
--- a/Source/Net/loop.h
+++ b/Source/Net/loop.h
@@ -15,16 +15,13 @@
 
 namespace buckthorncart {
 
-/// Largest head of an HTTP request, bytes.
-inline constexpr uint32_t kDefaultHeaderBytes = 16'384;
-
 /// Owns the libwebsockets context. Everything runs on the thread that calls
 /// `Run`.
 class Loop {
  public:
   /// `fd_limit` bounds the open descriptors. The library searches a table of
   /// that size several times for each connection that opens and closes.
-  explicit Loop(int fd_limit, uint32_t header_bytes = kDefaultHeaderBytes);
+  explicit Loop(int fd_limit);
   ~Loop();
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
@@ -41,6 +38,8 @@
   void RunIn(Duration delay, std::function<void()> task);
   /// Calls `handler` on the loop after SIGTERM or SIGINT.
   void OnShutdownSignal(std::function<void()> handler);
+  /// Calls `handler` on the loop after SIGHUP.
+  void OnReloadSignal(std::function<void()> handler);
 
   /// Microseconds on CLOCK_BOOTTIME.
   static Time Now();
@@ -69,6 +68,7 @@
   Timer timer_;
   std::multimap<Time, std::function<void()>> tasks_;
   std::function<void()> on_shutdown_;
+  std::function<void()> on_reload_;
   bool stopped_ = false;
   bool closing_ = false;
 };
--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -18,7 +18,6 @@
 constexpr Duration kIdleCheckInterval = 20ms;
 /// Connections accepted last have sent their requests by then.
 constexpr Duration kLastRequests = 200ms;
-constexpr int kFdSearchLimit = 65'536;
 
 }  // namespace
 
@@ -39,14 +38,12 @@
   void OnDrained(uint64_t id, uint64_t bytes) override {
     driver_.Dispatch(CallerDrained{id, bytes});
   }
-  AnswerPart BodyTooLarge() override {
-    return MakeFailureAnswer(Errc::kBodyTooLarge, Outcome::kNotRun);
-  }
-  AnswerPart LengthRequired() override {
-    constexpr uint16_t kLengthRequired = 411;
-    AnswerPart part =
-        MakeFailureAnswer(Errc::kMalformedFrame, Outcome::kNotRun);
-    part.status = kLengthRequired;
+  AnswerPart MakeRefusal(ReadState fault) override {
+    const Errc reason = fault == ReadState::kBodyTooLarge
+                            ? Errc::kBodyTooLarge
+                            : Errc::kMalformedFrame;
+    AnswerPart part = MakeFailureAnswer(reason, Outcome::kNotRun);
+    part.status = StatusOf(fault);
     return part;
   }
 
@@ -57,12 +54,14 @@
 };
 
 LoopDriver::LoopDriver(Loop& loop, const DriverSettings& settings,
-                       Kernel& kernel, uint64_t wall_ms, const LogSink& log)
+                       Kernel& kernel, uint64_t wall_ms, const LogSink& log,
+                       HttpTranslator& translator)
     : loop_(loop),
       settings_(settings),
       kernel_(kernel),
       wall_ms_(wall_ms),
       log_(log),
+      translator_(translator),
       peers_(loop, kernel.GetContext().Settings().self, wall_ms, *this),
       datagrams_(loop,
                  [this](Address from, std::string_view bytes) {
@@ -70,22 +69,27 @@
                  }),
       caller_events_(std::make_unique<ServerEvents>(
           *this,
-          [](uint64_t id, HttpRequest request) -> Event {
+          [this](uint64_t id, HttpRequest request) -> Event {
+            translator_.CallerRequest(request);
             return CallerRequested{id, std::move(request)};
           },
           [](uint64_t id) -> Event { return CallerLeft{id}; })),
       operator_events_(std::make_unique<ServerEvents>(
           *this,
-          [](uint64_t id, HttpRequest request) -> Event {
+          [this](uint64_t id, HttpRequest request) -> Event {
+            translator_.OperatorRequest(request);
             return OperatorRequested{id, std::move(request)};
           },
           [](uint64_t id) -> Event { return OperatorLeft{id}; })),
       callers_(loop, settings.limits, *caller_events_,
                wall_ms << kCallsPerMillisecondBits),
       operators_(loop, settings.limits, *operator_events_),
-      backend_(loop, [this](uint64_t run, AnswerPart part, BackendFault fault) {
-        Dispatch(BackendAnswered{run, std::move(part), fault});
-      }) {
+      backend_(
+          loop,
+          [this](uint64_t run, AnswerPart part, BackendFault fault) {
+            OnBackendPart(run, std::move(part), fault);
+          },
+          settings.backend) {
   AddMetrics();
 }
 
@@ -107,6 +111,8 @@
                      [this] { return datagrams_.SentBytes(); });
   metrics.AddCounter("datagram_received_bytes_total",
                      [this] { return datagrams_.ReceivedBytes(); });
+  metrics.AddCounter("backend_connections_total",
+                     [this] { return backend_.ConnectionsOpened(); });
   metrics.AddCounter("bad_frames_total", [this] { return bad_frames_; });
 }
 
@@ -122,6 +128,9 @@
   if (opened) opened = datagrams_.Bind(self);
   if (opened) opened = callers_.Listen("callers", settings_.callers);
   if (opened) opened = operators_.Listen("operators", settings_.operators);
+  for (const Address address : settings_.more_operators) {
+    if (opened) opened = operators_.Listen("operators", address);
+  }
   if (opened) opened = backend_.Open("backend-server");
   return opened;
 }
@@ -188,12 +197,20 @@
   platform_(effect.tag, std::move(effect.request));
 }
 
+void LoopDriver::OnBackendPart(uint64_t run, AnswerPart part,
+                               BackendFault fault) {
+  if (fault == BackendFault::kNone) fault = translator_.BackendAnswer(part);
+  Dispatch(BackendAnswered{run, std::move(part), fault});
+}
+
 void LoopDriver::Carry(AnswerCaller effect) {
+  translator_.CallerAnswer(effect.part);
   callers_.Answer(effect.call, std::move(effect.part), effect.close);
 }
 
 void LoopDriver::Carry(CallBackend effect) {
-  backend_.Send(effect.run, effect.backend, std::move(effect.request));
+  translator_.BackendRequest(effect.request);
+  backend_.Send(effect.run, effect.backend, effect.request, effect.repeatable);
 }
 
 void LoopDriver::Carry(const CancelBackend& effect) {
@@ -221,23 +238,20 @@
 
 void LoopDriver::Carry(const Exit& /*effect*/) {
   if (std::exchange(exiting_, true)) return;
-  const ListeningSocket listener(settings_.callers, kFdSearchLimit);
-  listener.IgnoreNewConnections();
+  callers_.StopListening();
   const Time now = Loop::Now();
-  StopWhenIdle(listener, now + kLastRequests, now + kLongestLastWrite);
+  StopWhenIdle(now + kLastRequests, now + kLongestLastWrite);
 }
 
-void LoopDriver::StopWhenIdle(ListeningSocket listener, Time earliest,
-                              Time latest) {
+void LoopDriver::StopWhenIdle(Time earliest, Time latest) {
   const Time now = Loop::Now();
-  const bool idle = callers_.IsIdle() && listener.IsDrained();
+  const bool idle = callers_.IsIdle();
   if (now >= latest || (idle && now >= earliest)) {
     loop_.Stop();
     return;
   }
-  loop_.RunIn(kIdleCheckInterval, [this, listener, earliest, latest] {
-    StopWhenIdle(listener, earliest, latest);
-  });
+  loop_.RunIn(kIdleCheckInterval,
+              [this, earliest, latest] { StopWhenIdle(earliest, latest); });
 }
 
 }  // namespace buckthorncart
--- a/Source/Net/loop_driver.h
+++ b/Source/Net/loop_driver.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Base/address.h"
 #include "Base/result.h"
@@ -17,7 +18,7 @@
 #include "Net/datagram_socket.h"
 #include "Net/http_client.h"
 #include "Net/http_server.h"
-#include "Net/listening_socket.h"
+#include "Net/http_translator.h"
 #include "Net/log_sink.h"
 #include "Net/loop.h"
 #include "Net/peer_transport.h"
@@ -29,6 +30,9 @@
   Address callers;
   Address operators;
   HttpServerLimits limits;
+  /// More addresses for operators' requests, such as checks of readiness.
+  std::vector<Address> more_operators;
+  HttpClientSettings backend;
 };
 
 class LoopDriver : private PeerTransportHandler {
@@ -36,7 +40,7 @@
   /// All references must outlive the driver. `wall_ms` becomes the daemon's
   /// incarnation.
   LoopDriver(Loop& loop, const DriverSettings& settings, Kernel& kernel,
-             uint64_t wall_ms, const LogSink& log);
+             uint64_t wall_ms, const LogSink& log, HttpTranslator& translator);
   ~LoopDriver() override;
 
   void UsePlatform(PlatformSubmit platform);
@@ -70,7 +74,8 @@
   void Carry(AnswerOperator effect);
   void Carry(const LogChange& effect);
   void Carry(const Exit& effect);
-  void StopWhenIdle(ListeningSocket listener, Time earliest, Time latest);
+  void OnBackendPart(uint64_t run, AnswerPart part, BackendFault fault);
+  void StopWhenIdle(Time earliest, Time latest);
   void AddMetrics();
 
   Loop& loop_;
@@ -78,6 +83,7 @@
   Kernel& kernel_;
   uint64_t wall_ms_;
   const LogSink& log_;
+  HttpTranslator& translator_;
   PlatformSubmit platform_;
   std::optional<TraceWriter> trace_;
   PeerTransport peers_;
--- a/Source/Net/peer_transport.h
+++ b/Source/Net/peer_transport.h
@@ -2,20 +2,18 @@
 /// \file
 /// Framed TCP connections between daemons.
 
-#include <libwebsockets.h>
-
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "Base/address.h"
 #include "Base/error.h"
 #include "Base/result.h"
 #include "Net/loop.h"
-#include "Wire/frame_reader.h"
+#include "Net/tcp_host.h"
 #include "Wire/peer_messages.h"
 
 namespace buckthorncart {
@@ -38,6 +36,7 @@
  public:
   PeerTransport(Loop& loop, Address self, uint64_t incarnation,
                 PeerTransportHandler& handler);
+  ~PeerTransport();
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
 
@@ -54,37 +53,23 @@
   size_t ConnectionCount() const { return connections_.size(); }
 
  private:
-  struct Connection {
-    PeerTransport* transport = nullptr;
-    lws* wsi = nullptr;
-    /// Unset on an accepted connection until its `Hello`.
-    Address peer;
-    bool open = false;
-    bool closing = false;
-    FrameReader reader;
-    std::deque<std::string> out;
-    size_t out_bytes = 0;
-    size_t out_offset = 0;
-  };
+  class Connection;
 
-  static int Callback(lws* wsi, lws_callback_reasons reason, void* user,
-                      void* in, size_t len);
-  int HandleReceived(Connection& connection, std::string_view bytes);
-  bool HandleFrame(Connection& connection, const std::string& frame);
-  int HandleWriteable(Connection& connection);
-  void HandleClosed(Connection& connection);
-  void Accept(lws* wsi);
-  Connection* Connect(Address to);
-  void Enqueue(Connection& connection, const PeerMessage& message);
-  void Close(Connection& connection);
+  Connection& Connect(Address to);
+  void Accept(Stream& stream);
+  /// The connection to a peer that has told who it is.
+  void Adopt(Connection& connection);
+  void HandleEnd(Connection& connection, bool report);
+  void Remove(Connection& connection);
 
   Loop& loop_;
   Address self_;
   uint64_t incarnation_;
   PeerTransportHandler& handler_;
-  lws_protocols protocols_[2];
-  lws_vhost* vhost_ = nullptr;
+  TcpHost host_;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+  /// Connections that have ended and may still be on the call stack.
+  std::vector<std::unique_ptr<Connection>> ended_;
   std::map<Address, Connection*> sending_;
   uint64_t sent_bytes_ = 0;
   uint64_t control_sent_bytes_ = 0;
--- /dev/null
+++ b/Source/Net/tcp_host.h
@@ -0,0 +1,51 @@
+#pragma once
+/// \file
+/// Listens for TCP connections and opens them.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Base/address.h"
+#include "Base/result.h"
+#include "Net/descriptor_watcher.h"
+#include "Net/loop.h"
+#include "Net/stream.h"
+
+namespace buckthorncart {
+
+class TcpHost {
+ public:
+  /// Sets the handler of a connection that has been accepted.
+  using AcceptHandler = std::function<void(Stream&)>;
+
+  explicit TcpHost(Loop& loop);
+  ~TcpHost();
+  TcpHost(const TcpHost&) = delete;
+  TcpHost& operator=(const TcpHost&) = delete;
+
+  /// Must succeed before all else. `name` is unique in the loop.
+  Result<void> Open(const std::string& name);
+  /// Fails with `kAddressInUse`.
+  Result<void> Listen(Address address, AcceptHandler on_accept);
+  /// Accepts what waits and closes all listeners; open connections stay.
+  void StopListening();
+  /// Opens a connection. `OnOpen` or `OnEnd` follows, never from inside this
+  /// call; what is written before is sent when the connection is open.
+  Stream& Connect(Address to, StreamHandler& handler);
+  size_t ConnectionCount() const { return streams_.size(); }
+
+ private:
+  class Listener;
+
+  void AcceptAll(int fd, const AcceptHandler& on_accept);
+
+  Loop& loop_;
+  DescriptorWatcher watcher_;
+  std::vector<std::unique_ptr<Listener>> listeners_;
+  std::unordered_map<Stream*, std::unique_ptr<Stream>> streams_;
+};
+
+}  // namespace buckthorncart
--- a/Source/Platform/memory_table.cc
+++ b/Source/Platform/memory_table.cc
@@ -19,25 +19,27 @@
       transaction.conditions.begin(), transaction.conditions.end(),
       [this](const Condition& condition) { return Holds(condition); });
   if (!all_hold) {
-    PlatformReply reply{PlatformStatus::kConditionFailed, {}, {}};
+    PlatformReply reply{PlatformStatus::kConditionFailed, {}, {}, 0};
     for (const Condition& condition : transaction.conditions) {
       const auto it = rows_.find(condition.key);
       if (it != rows_.end()) reply.rows.insert(*it);
     }
     return reply;
   }
+  ++version_;
   for (const Write& write : transaction.writes) {
+    versions_[write.key] = version_;
     if (write.value) {
       rows_[write.key] = *write.value;
     } else {
       rows_.erase(write.key);
     }
   }
-  return {PlatformStatus::kOk, {}, {}};
+  return {PlatformStatus::kOk, {}, {}, 0};
 }
 
 PlatformReply MemoryTable::ApplyOne(const ReadRows& read) const {
-  PlatformReply reply{PlatformStatus::kOk, {}, {}};
+  PlatformReply reply{PlatformStatus::kOk, {}, {}, version_};
   for (const std::string& key : read.keys) {
     const auto it = rows_.find(key);
     if (it != rows_.end()) reply.rows.insert(*it);
@@ -46,7 +48,7 @@
 }
 
 PlatformReply MemoryTable::ApplyOne(const ScanRows& scan) const {
-  PlatformReply reply{PlatformStatus::kOk, {}, {}};
+  PlatformReply reply{PlatformStatus::kOk, {}, {}, 0};
   auto it = scan.after.empty() ? rows_.lower_bound(scan.prefix)
                                : rows_.upper_bound(scan.after);
   for (; it != rows_.end() && it->first.starts_with(scan.prefix); ++it) {
@@ -56,13 +58,23 @@
   return reply;
 }
 
+PlatformReply MemoryTable::ApplyOne(const WatchRow& watch) const {
+  PlatformReply reply{PlatformStatus::kOk, {}, {}, version_};
+  const auto changed = versions_.find(watch.key);
+  const auto row = rows_.find(watch.key);
+  const bool news = changed != versions_.end() && row != rows_.end() &&
+                    changed->second > watch.after;
+  if (news) reply.rows.insert(*row);
+  return reply;
+}
+
 PlatformReply MemoryTable::ApplyOne(const PutObject& put) {
   objects_[put.name] = put.bytes;
-  return {PlatformStatus::kOk, {}, {}};
+  return {PlatformStatus::kOk, {}, {}, 0};
 }
 
 PlatformReply MemoryTable::ApplyOne(const GetObject& get) const {
-  PlatformReply reply{PlatformStatus::kOk, {}, {}};
+  PlatformReply reply{PlatformStatus::kOk, {}, {}, 0};
   const auto it = objects_.find(get.name);
   if (it != objects_.end()) reply.object = it->second;
   return reply;
--- a/Source/Platform/memory_table.h
+++ b/Source/Platform/memory_table.h
@@ -12,6 +12,7 @@
 /// Serves the embedded platform and the platform stand-in.
 class MemoryTable {
  public:
+  /// A watch is answered at once, with the row if it has changed.
   PlatformReply Apply(const PlatformRequest& request);
   size_t RowCount() const { return rows_.size(); }
 
@@ -21,10 +22,14 @@
   PlatformReply ApplyOne(const ScanRows& scan) const;
   PlatformReply ApplyOne(const PutObject& put);
   PlatformReply ApplyOne(const GetObject& get) const;
+  PlatformReply ApplyOne(const WatchRow& watch) const;
   bool Holds(const Condition& condition) const;
 
   std::map<std::string, std::string> rows_;
   std::map<std::string, std::string> objects_;
+  /// Versions of the rows, deleted ones included.
+  std::map<std::string, uint64_t> versions_;
+  uint64_t version_ = 0;
 };
 
 }  // namespace buckthorncart
--- a/Source/Platform/platform_messages.h
+++ b/Source/Platform/platform_messages.h
@@ -60,8 +60,17 @@
   MSGPACK_DEFINE(name)
 };
 
-using PlatformRequest =
-    std::variant<Transaction, ReadRows, ScanRows, PutObject, GetObject>;
+/// Waits up to `wait_ms` for a change of the row `key` after `after`, a
+/// version of the store.
+struct WatchRow {
+  std::string key;
+  uint64_t after = 0;
+  uint32_t wait_ms = 0;
+  MSGPACK_DEFINE(key, after, wait_ms)
+};
+
+using PlatformRequest = std::variant<Transaction, ReadRows, ScanRows, PutObject,
+                                     GetObject, WatchRow>;
 
 enum class PlatformStatus : uint8_t {
   /// Done; for a transaction, all writes have been applied.
@@ -73,6 +82,8 @@
   kUnavailable,
   /// The request may have been carried out.
   kUnknown,
+  /// The changes that a watch asks for are no longer known; read the row.
+  kHistoryLost,
 };
 
 struct PlatformReply {
@@ -81,7 +92,9 @@
   std::map<std::string, std::string> rows;
   /// Contents for `GetObject`; absent when there is no such object.
   std::optional<std::string> object;
-  MSGPACK_DEFINE(status, rows, object)
+  /// Version of the store that the rows are from, for the next watch.
+  uint64_t version = 0;
+  MSGPACK_DEFINE(status, rows, object, version)
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/admission.h
+++ b/Source/Plugins/admission.h
@@ -15,6 +15,9 @@
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
 #include "Plugins/admission_queue.h"
+#include "Plugins/backend_life.h"
+#include "Plugins/connect_gate.h"
+#include "Plugins/crash_suspects.h"
 #include "Plugins/request_rules.h"
 #include "Plugins/service_time.h"
 #include "Plugins/shed_limit.h"
@@ -69,7 +72,6 @@
     /// Unrepeatable, and its claim has not been decided.
     bool awaiting_claim = false;
   };
-  static constexpr size_t kClasses = 2;
 
   void HandleCall(Context& ctx, Address from, const Call& call);
   void HandleCancel(Context& ctx, Address from, uint64_t id);
@@ -80,20 +82,27 @@
   void SetBackend(Context& ctx, BackendAnnouncement backend);
   Errc ReasonToRefuse(Context& ctx, const Call& call) const;
   void HandleTick(Context& ctx);
-  void EvictFor(Context& ctx, RequestClass request_class);
+  void EvictFor(Context& ctx, uint32_t rank);
+  void RefuseQueued(Context& ctx, Errc reason);
   static bool IsShed(const AnswerPart& part);
   void HandleShed(Context& ctx, uint64_t number);
   void CancelStarted(Context& ctx, uint64_t number);
+  bool NoteBroken(Context& ctx, uint64_t fingerprint);
   void SendPart(Context& ctx, Run& run, AnswerPart part);
-  bool IsTooLate(Context& ctx, RequestClass request_class, Duration remaining,
-                 size_t ahead) const;
+  /// Expected wait of a new call of `rank` for a slot.
+  Duration WaitOf(Context& ctx, uint32_t rank) const;
+  bool IsTooLate(Context& ctx, uint32_t rank, Duration remaining,
+                 Duration wait) const;
   void HandleClaimDenied(Context& ctx, const ClaimDenied& denied);
   /// Starts the run or queues it for a slot.
   void StartOrQueue(Context& ctx, uint64_t number);
   void StartQueued(Context& ctx);
   void StartRun(Context& ctx, uint64_t number);
   void EndRun(Context& ctx, uint64_t number);
-  void Refuse(Context& ctx, const CallKey& key, Errc reason);
+  void Refuse(Context& ctx, const CallKey& key, Errc reason,
+              bool reached_backend = false);
+  void NoteBackendLost(Context& ctx);
+  static uint32_t RankOfRun(const Run& run);
   uint32_t Slots(Context& ctx) const;
   uint32_t LoadPerMille(Context& ctx) const;
   ServiceTime& TimeOf(const Run& run);
@@ -103,7 +112,10 @@
   std::map<uint64_t, Run> runs_;
   std::map<CallKey, uint64_t> run_of_call_;
   AdmissionQueue<Rules> queue_;
-  std::array<ServiceTime, kClasses> service_times_;
+  std::array<ServiceTime, kRanks> service_times_;
+  BackendLife life_;
+  ConnectGate gate_;
+  CrashSuspects suspects_;
   ShedLimit shed_limit_;
   uint32_t slots_in_use_ = 0;
   uint64_t next_run_ = 0;
--- a/Source/Plugins/admission_inl.h
+++ b/Source/Plugins/admission_inl.h
@@ -15,8 +15,6 @@
 namespace buckthorncart {
 
 inline constexpr uint32_t kPerMille = 1'000;
-/// A backend server that has not announced itself for so long is absent.
-inline constexpr Duration kAnnouncementLease = 3s;
 
 template <RequestRules Rules>
 void Admission<Rules>::Attach(Context& ctx) {
@@ -61,7 +59,9 @@
   // Slots come back at the end of a pause, without an event of their own.
   StartQueued(ctx);
   const bool lapsed = backend_.state != BackendState::kAbsent &&
-                      ctx.Now() - last_announcement_ > kAnnouncementLease;
+                      ctx.Now() - last_announcement_ >
+                          std::chrono::milliseconds(
+                              ctx.Settings().backend_lease_ms);
   if (!lapsed) return;
   BackendAnnouncement absent = backend_;
   absent.state = BackendState::kAbsent;
@@ -80,13 +80,22 @@
 template <RequestRules Rules>
 void Admission<Rules>::HandleAnnouncement(Context& ctx,
                                           const OperatorRequested& request) {
-  auto backend = ParseAnnouncement(request.http.body);
-  if (!backend) {
-    ctx.AnswerFailure(request.request, 422, backend.error());
+  auto announcement = ParseAnnouncement(request.http.body);
+  if (!announcement) {
+    ctx.AnswerFailure(request.request, 422, announcement.error());
+    return;
+  }
+  const std::string previous = backend_.id;
+  if (!life_.Accept(*announcement)) {
+    ctx.AnswerJson(request.request, 200, "{\"result\":\"outdated\"}\n");
     return;
   }
   last_announcement_ = ctx.Now();
-  SetBackend(ctx, std::move(*backend));
+  gate_.Open();
+  const bool restarted =
+      !previous.empty() && announcement->backend.id != previous;
+  if (restarted) NoteBackendLost(ctx);
+  SetBackend(ctx, std::move(announcement->backend));
   ctx.AnswerJson(request.request, 200, "{\"result\":\"announced\"}\n");
 }
 
@@ -96,11 +105,17 @@
   if (backend.state != backend_.state) {
     ctx.Log(LogTopic::kBackendState,
             {{"service", backend.service},
+             {"id", backend.id},
              {"state", std::string(NameOf(backend.state))}});
   }
   backend_ = std::move(backend);
   ctx.Raise(LocalBackendChanged{backend_});
-  StartQueued(ctx);
+  if (backend_.state == BackendState::kReady) {
+    StartQueued(ctx);
+  } else if (backend_.state == BackendState::kDraining) {
+    // A request that has not begun may begin elsewhere.
+    RefuseQueued(ctx, Errc::kDraining);
+  }
 }
 
 template <RequestRules Rules>
@@ -113,17 +128,20 @@
   if (ctx.Shared().crashes->Refuses(ctx.Now(), call.fingerprint)) {
     return Errc::kCrashGuard;
   }
+  if (gate_.IsClosed(ctx.Now())) return Errc::kBackendServerFailed;
   const uint32_t slots = Slots(ctx);
   if (slots == 0) return Errc::kOverloaded;
+  const uint32_t rank = RankOf(call.priority, call.request_class);
   const Duration remaining = std::chrono::milliseconds(call.remaining_ms);
-  if (IsTooLate(ctx, call.request_class, remaining, 0)) {
+  if (IsTooLate(ctx, rank, remaining, Duration::zero())) {
     return Errc::kDeadlineExpired;
   }
   if (slots_in_use_ < slots) return Errc::kOk;
   const bool full = queue_.Size() >= ctx.Settings().queue_limit &&
-                    !queue_.CanEvictFor(call.request_class);
-  const size_t ahead = queue_.Ahead(call.request_class) + 1;
-  if (full || IsTooLate(ctx, call.request_class, remaining, ahead)) {
+                    !queue_.CanEvictFor(rank);
+  const Duration wait = WaitOf(ctx, rank);
+  if (full || wait > std::chrono::milliseconds(call.max_wait_ms) ||
+      IsTooLate(ctx, rank, remaining, wait)) {
     return Errc::kOverloaded;
   }
   return Errc::kOk;
@@ -146,11 +164,11 @@
   run.key = key;
   run.call = call;
   run.deadline = ctx.Now() + remaining;
-  run.awaiting_claim = !call.repeatable;
+  run.awaiting_claim = !call.repeatable && !call.idempotency_key.empty();
   run_of_call_[key] = number;
   ctx.Shared().active_runs = static_cast<uint32_t>(runs_.size());
   ctx.SetTimerIn(remaining, TimerKind::kQueueDeadline, number);
-  if (!call.repeatable) {
+  if (run.awaiting_claim) {
     ctx.Raise(ClaimWanted{number, from, call});
     return;
   }
@@ -177,16 +195,14 @@
     return;
   }
   counters_.Add(AdmissionCounter::kQueued);
-  const RequestClass request_class = it->second.call.request_class;
-  if (queue_.Size() >= ctx.Settings().queue_limit) {
-    EvictFor(ctx, request_class);
-  }
-  queue_.Push(number, request_class);
+  const uint32_t rank = RankOfRun(it->second);
+  if (queue_.Size() >= ctx.Settings().queue_limit) EvictFor(ctx, rank);
+  queue_.Push(number, rank);
 }
 
 template <RequestRules Rules>
-void Admission<Rules>::EvictFor(Context& ctx, RequestClass request_class) {
-  const auto evicted = queue_.EvictFor(request_class);
+void Admission<Rules>::EvictFor(Context& ctx, uint32_t rank) {
+  const auto evicted = queue_.EvictFor(rank);
   if (!evicted) return;
   counters_.Add(AdmissionCounter::kEvicted);
   const CallKey key = runs_.at(*evicted).key;
@@ -194,16 +210,45 @@
   Refuse(ctx, key, Errc::kOverloaded);
 }
 
-/// True if a call that waits for `ahead` others is expected to end after its
-/// deadline.
 template <RequestRules Rules>
-bool Admission<Rules>::IsTooLate(Context& ctx, RequestClass request_class,
-                                 Duration remaining, size_t ahead) const {
+void Admission<Rules>::RefuseQueued(Context& ctx, Errc reason) {
+  for (const uint64_t number : queue_.All()) {
+    const CallKey key = runs_.at(number).key;
+    EndRun(ctx, number);
+    Refuse(ctx, key, reason);
+  }
+}
+
+/// The backend server did not survive the requests that were running.
+template <RequestRules Rules>
+void Admission<Rules>::NoteBackendLost(Context& ctx) {
+  for (const uint64_t fingerprint : suspects_.Take(ctx.Now())) {
+    ctx.Shared().crashes->NoteBreak(ctx, fingerprint);
+  }
+}
+
+template <RequestRules Rules>
+uint32_t Admission<Rules>::RankOfRun(const Run& run) {
+  return RankOf(run.call.priority, run.call.request_class);
+}
+
+template <RequestRules Rules>
+Duration Admission<Rules>::WaitOf(Context& ctx, uint32_t rank) const {
+  const Time now = ctx.Now();
+  // The next slot becomes free after a share of one run.
+  Duration work = service_times_[rank].Expected(now);
+  queue_.VisitAhead(rank, [&](uint32_t ahead, size_t n) {
+    work += service_times_[ahead].Expected(now) * n;
+  });
+  return work / std::max(Slots(ctx), 1U);
+}
+
+/// True if a call that waits for `wait` is expected to end after its deadline.
+template <RequestRules Rules>
+bool Admission<Rules>::IsTooLate(Context& ctx, uint32_t rank,
+                                 Duration remaining, Duration wait) const {
   if (!Rules::kCheckServiceTime) return false;
-  const ServiceTime& time = service_times_[static_cast<size_t>(request_class)];
-  const Duration expected = time.Expected(ctx.Now());
-  const Duration wait = expected * ahead / std::max(Slots(ctx), 1U);
-  return remaining < wait + expected;
+  return remaining < wait + service_times_[rank].Expected(ctx.Now());
 }
 
 template <RequestRules Rules>
@@ -213,7 +258,7 @@
     if (!number) return;
     const Run& run = runs_.at(*number);
     const Duration remaining = run.deadline - ctx.Now();
-    if (!IsTooLate(ctx, run.call.request_class, remaining, 0)) {
+    if (!IsTooLate(ctx, RankOfRun(run), remaining, Duration::zero())) {
       StartRun(ctx, *number);
       continue;
     }
@@ -236,6 +281,9 @@
       std::max<int64_t>(ToMilliseconds(run.deadline - ctx.Now()), 0);
   request.headers.push_back(
       {std::string(header::kDeadline), std::to_string(remaining)});
+  if (!backend_.id.empty()) {
+    request.headers.push_back({std::string(header::kBackendId), backend_.id});
+  }
   ctx.Emit(CallBackend{number, ctx.Settings().backend, std::move(request),
                        run.call.repeatable});
 }
@@ -246,8 +294,9 @@
   if (it->second.started) --slots_in_use_;
   if (!it->second.started) {
     queue_.Erase(number);
-    const bool claimed =
-        !it->second.call.repeatable && !it->second.awaiting_claim;
+    const bool claimed = !it->second.call.repeatable &&
+                         !it->second.call.idempotency_key.empty() &&
+                         !it->second.awaiting_claim;
     if (claimed) ctx.Raise(ClaimUnused{number});
   }
   run_of_call_.erase(it->second.key);
@@ -256,9 +305,11 @@
 }
 
 template <RequestRules Rules>
-void Admission<Rules>::Refuse(Context& ctx, const CallKey& key, Errc reason) {
+void Admission<Rules>::Refuse(Context& ctx, const CallKey& key, Errc reason,
+                              bool reached_backend) {
   counters_.Add(AdmissionCounter::kRefused);
-  ctx.Send(key.first, CallRefused{key.second, reason});
+  ctx.Send(key.first, CallRefused{key.second, reason, LoadPerMille(ctx),
+                                  reached_backend});
 }
 
 template <RequestRules Rules>
@@ -276,7 +327,7 @@
 
 template <RequestRules Rules>
 ServiceTime& Admission<Rules>::TimeOf(const Run& run) {
-  return service_times_[static_cast<size_t>(run.call.request_class)];
+  return service_times_[RankOfRun(run)];
 }
 
 }  // namespace buckthorncart
--- a/Source/Plugins/admission_runs_inl.h
+++ b/Source/Plugins/admission_runs_inl.h
@@ -23,7 +23,9 @@
   if (answered.fault == BackendFault::kNotConnected) {
     EndRun(ctx, answered.run);
     Refuse(ctx, {peer, id}, Errc::kBackendServerFailed);
-    StartQueued(ctx);
+    gate_.NoteFailure(ctx.Now());
+    NoteBackendLost(ctx);
+    RefuseQueued(ctx, Errc::kBackendServerFailed);
     return;
   }
   if (!run.head_sent && IsShed(answered.part)) {
@@ -33,8 +35,7 @@
   const bool broken = answered.fault == BackendFault::kConnectionBroken;
   if (broken && !run.head_sent) {
     counters_.Add(AdmissionCounter::kBroken);
-    const bool suspect =
-        ctx.Shared().crashes->NoteBreak(ctx, run.call.fingerprint);
+    const bool suspect = NoteBroken(ctx, run.call.fingerprint);
     ctx.Send(peer, CallFailed{id, suspect ? Errc::kCrashGuard
                                           : Errc::kBackendServerFailed});
   } else {
@@ -45,6 +46,7 @@
   if (!broken && answered.part.end == AnswerEnd::kMore) return;
   counters_.Add(AdmissionCounter::kCompleted);
   if (!broken) {
+    gate_.Open();
     ctx.Shared().crashes->NoteSuccess(ctx, run.call.fingerprint);
     shed_limit_.NoteAnswer(backend_.slots);
     TimeOf(run).Note(ctx.Now() - run.started_at, ctx.Now());
@@ -66,10 +68,22 @@
   const CallKey key = runs_.at(number).key;
   EndRun(ctx, number);
   shed_limit_.NoteShed(ctx.Now(), slots_in_use_);
-  Refuse(ctx, key, Errc::kOverloaded);
+  Refuse(ctx, key, Errc::kOverloaded, true);
   StartQueued(ctx);
 }
 
+/// The connection broke during a run. A backend server that tells its starts
+/// is only taken as dead once it is found gone, as connections also break
+/// without it. Returns true if the request is not tried elsewhere.
+template <RequestRules Rules>
+bool Admission<Rules>::NoteBroken(Context& ctx, uint64_t fingerprint) {
+  if (backend_.id.empty()) {
+    return ctx.Shared().crashes->NoteBreak(ctx, fingerprint);
+  }
+  suspects_.Add(fingerprint, ctx.Now());
+  return false;
+}
+
 template <RequestRules Rules>
 void Admission<Rules>::SendPart(Context& ctx, Run& run, AnswerPart part) {
   run.head_sent = true;
--- a/Source/Plugins/announcement_json.h
+++ b/Source/Plugins/announcement_json.h
@@ -9,8 +9,17 @@
 
 namespace buckthorncart {
 
-/// Reads `{"service", "state", "slots", "labels"}`; `labels` may be missing.
+/// An announcement with its place among those of one start.
+struct ReceivedAnnouncement {
+  BackendAnnouncement backend;
+  /// Grows with each announcement of one start; 0 if it does not tell.
+  uint64_t sequence = 0;
+};
+
+/// Reads `{"service", "state", "slots", "labels", "id", "started_ms",
+/// "sequence"}`; all but the first three may be missing, and all but `state`
+/// where it is `absent`.
 /// Fails with `kInvalidValue`, naming the field.
-Result<BackendAnnouncement> ParseAnnouncement(const std::string& body);
+Result<ReceivedAnnouncement> ParseAnnouncement(const std::string& body);
 
 }  // namespace buckthorncart
--- a/Source/Plugins/backend_choice.cc
+++ b/Source/Plugins/backend_choice.cc
@@ -61,6 +61,19 @@
   return Load(candidate) * std::max(time, kLeast);
 }
 
+/// Expected time until an answer, with the way to another data centre.
+double NearestCost(const Candidate& candidate) {
+  constexpr double kLeastTimeUs = 10'000.0;
+  constexpr double kCrossingUs = 60'000.0;
+  const double time = std::max(
+      static_cast<double>(candidate.expected_time.count()), kLeastTimeUs);
+  const double share = std::max(OwnShare(candidate, candidate.in_flight + 1),
+                                ReportedShare(candidate)) /
+                       candidate.weight;
+  const double crossing = candidate.same_data_centre ? 0.0 : kCrossingUs;
+  return time * (1.0 + share) + crossing;
+}
+
 size_t PickOne(Context& ctx, const std::vector<size_t>& from) {
   return from[ctx.RandomBelow(static_cast<uint32_t>(from.size()))];
 }
@@ -91,6 +104,18 @@
   return PickBetter(ctx, all, ExpectedTime);
 }
 
+size_t NearestChoice::Pick(Context& ctx,
+                           const std::vector<Candidate>& all) const {
+  // A random start shares work among candidates that cost the same.
+  const size_t start = ctx.RandomBelow(static_cast<uint32_t>(all.size()));
+  size_t best = start;
+  for (size_t i = 1; i < all.size(); ++i) {
+    const size_t n = (start + i) % all.size();
+    if (NearestCost(all[n]) < NearestCost(all[best])) best = n;
+  }
+  return best;
+}
+
 size_t UniformChoice::Pick(Context& ctx,
                            const std::vector<Candidate>& all) const {
   std::vector<size_t> near;
--- a/Source/Plugins/backend_choice.h
+++ b/Source/Plugins/backend_choice.h
@@ -48,6 +48,12 @@
   size_t Pick(Context& ctx, const std::vector<Candidate>& all) const;
 };
 
+/// The candidate that is expected to begin first, where the way to another data
+/// centre counts as a wait.
+struct NearestChoice {
+  size_t Pick(Context& ctx, const std::vector<Candidate>& all) const;
+};
+
 /// Any candidate of the own data centre at random; the baseline in benchmarks.
 struct UniformChoice {
   size_t Pick(Context& ctx, const std::vector<Candidate>& all) const;
--- a/Source/Plugins/bounded_platform_queue.cc
+++ b/Source/Plugins/bounded_platform_queue.cc
@@ -14,6 +14,14 @@
       return std::make_unique<BoundedPlatformQueue>();
     });
 
+/// A watch may be held by the platform before it is late.
+Duration TimeoutOf(Context& ctx, const PlatformRequest& request) {
+  const auto* watch = std::get_if<WatchRow>(&request);
+  const uint32_t held_ms = watch == nullptr ? 0 : watch->wait_ms;
+  return std::chrono::milliseconds(ctx.Settings().platform_timeout_ms +
+                                   held_ms);
+}
+
 }  // namespace
 
 void BoundedPlatformQueue::Attach(Context& ctx) {
@@ -45,10 +53,10 @@
     return std::nullopt;
   }
   const uint64_t tag = ++next_tag_;
+  const Duration timeout = TimeoutOf(ctx, request);
   waiting_[static_cast<size_t>(priority)].push_back(
       {tag, ctx.Now(), std::move(request)});
-  ctx.SetTimerIn(std::chrono::milliseconds(ctx.Settings().platform_timeout_ms),
-                 TimerKind::kPlatformTimeout, tag);
+  ctx.SetTimerIn(timeout, TimerKind::kPlatformTimeout, tag);
   SendNext(ctx);
   return tag;
 }
@@ -77,6 +85,7 @@
   switch (replied.reply.status) {
     case PlatformStatus::kOk:
     case PlatformStatus::kConditionFailed:
+    case PlatformStatus::kHistoryLost:
       NoteState(ctx, true);
       break;
     case PlatformStatus::kUnavailable:
@@ -93,7 +102,7 @@
 
 void BoundedPlatformQueue::HandleTimeout(Context& ctx, uint64_t tag) {
   if (in_flight_.contains(tag)) {
-    ctx.Raise(PlatformReplied{tag, {PlatformStatus::kUnknown, {}, {}}});
+    ctx.Raise(PlatformReplied{tag, {PlatformStatus::kUnknown, {}, {}, 0}});
     return;
   }
   for (auto& queue : waiting_) {
@@ -101,7 +110,7 @@
       if (it->tag != tag) continue;
       queue.erase(it);
       counters_.Add(PlatformCounter::kUnavailable);
-      ctx.Raise(PlatformReplied{tag, {PlatformStatus::kUnavailable, {}, {}}});
+      ctx.Raise(PlatformReplied{tag, {PlatformStatus::kUnavailable, {}, {}, 0}});
       return;
     }
   }
--- a/Source/Plugins/call_plan.cc
+++ b/Source/Plugins/call_plan.cc
@@ -1,5 +1,6 @@
 #include "Plugins/call_plan.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -21,6 +22,7 @@
 }
 
 Errc CheckKey(const Route& route, std::string_view key) {
+  if (!route.named_by_key) return Errc::kOk;
   if (key.empty()) {
     return route.repeatable ? Errc::kOk : Errc::kMissingIdempotencyKey;
   }
@@ -39,6 +41,7 @@
       return tl::unexpected(Errc::kInvalidDeadline);
     }
   }
+  if (route.caps_deadline) deadline_ms = std::min(deadline_ms, route.timeout_ms);
   if (deadline_ms == 0) return tl::unexpected(Errc::kDeadlineExpired);
   return std::chrono::milliseconds(deadline_ms);
 }
@@ -51,14 +54,15 @@
   if (state != Errc::kOk) return tl::unexpected(state);
   CallPlan plan;
   plan.snapshot = ctx.Shared().held;
-  const Route* route = plan.snapshot->configuration.FindRoute(request.path);
+  const Route* route = plan.snapshot->configuration.FindRoute(
+      FindHeader(request.headers, header::kHost), request.path);
   if (route == nullptr) return tl::unexpected(Errc::kUnknownRoute);
   plan.route = *route;
   const std::string_view key =
       FindHeader(request.headers, header::kIdempotencyKey);
   const Errc key_fault = CheckKey(*route, key);
   if (key_fault != Errc::kOk) return tl::unexpected(key_fault);
-  plan.idempotency_key = std::string(key);
+  if (route->named_by_key) plan.idempotency_key = std::string(key);
   const auto time = TimeFor(*route, request);
   if (!time) return tl::unexpected(time.error());
   plan.time = *time;
--- a/Source/Plugins/change_acceptor.cc
+++ b/Source/Plugins/change_acceptor.cc
@@ -10,7 +10,8 @@
 const PluginRegistration kRegistration(
     PluginRank::kAcceptance, [](const KernelSettings& /*settings*/) {
       return std::make_unique<ChangeAcceptor<StandardAcceptanceRules>>();
-    });
+    },
+    ConfigurationSource::kAccepted);
 
 }  // namespace
 }  // namespace buckthorncart
--- a/Source/Plugins/change_acceptor_inl.h
+++ b/Source/Plugins/change_acceptor_inl.h
@@ -187,6 +187,7 @@
     case PlatformStatus::kConditionFailed:
       HandleConditionFailed(ctx, reply);
       break;
+    case PlatformStatus::kHistoryLost:
     case PlatformStatus::kUnavailable:
       AnswerRefused(ctx, {Errc::kPlatformUnavailable, "platform",
                           "an available table service",
@@ -282,6 +283,7 @@
     case PlatformStatus::kConditionFailed:
       HandleConditionFailed(ctx, reply);
       break;
+    case PlatformStatus::kHistoryLost:
     case PlatformStatus::kUnavailable:
     case PlatformStatus::kUnknown:
       ctx.SetTimerIn(kSettleInterval, TimerKind::kAcceptanceRetry,
--- a/Source/Plugins/change_preview.cc
+++ b/Source/Plugins/change_preview.cc
@@ -19,7 +19,8 @@
 const PluginRegistration kRegistration(
     PluginRank::kOperators, [](const KernelSettings& /*settings*/) {
       return std::make_unique<ChangePreview>();
-    });
+    },
+    ConfigurationSource::kAccepted);
 
 using Json = nlohmann::ordered_json;
 
--- a/Source/Plugins/claim_sweep.cc
+++ b/Source/Plugins/claim_sweep.cc
@@ -16,7 +16,8 @@
 const PluginRegistration kRegistration(PluginRank::kClaims,
                                        [](const KernelSettings& /*settings*/) {
                                          return std::make_unique<ClaimSweep>();
-                                       });
+                                       },
+    ConfigurationSource::kAccepted);
 
 constexpr uint32_t kPageRows = 500;
 constexpr Duration kPageInterval = 1s;
--- a/Source/Plugins/claims.cc
+++ b/Source/Plugins/claims.cc
@@ -10,7 +10,8 @@
 const PluginRegistration kRegistration(
     PluginRank::kClaims, [](const KernelSettings& /*settings*/) {
       return std::make_unique<Claims<StandardClaimRules>>();
-    });
+    },
+    ConfigurationSource::kAccepted);
 
 }  // namespace
 }  // namespace buckthorncart
--- a/Source/Plugins/claims_inl.h
+++ b/Source/Plugins/claims_inl.h
@@ -180,6 +180,7 @@
     case PlatformStatus::kOk:
       Grant(ctx, claim);
       return;
+    case PlatformStatus::kHistoryLost:
     case PlatformStatus::kUnavailable:
       Refuse(ctx, claim, Errc::kPlatformUnavailable);
       return;
--- a/Source/Plugins/configuration_holder.cc
+++ b/Source/Plugins/configuration_holder.cc
@@ -23,7 +23,8 @@
   return nullptr;
 }
 
-const PluginRegistration kRegistration(PluginRank::kConfiguration, CreateFor);
+const PluginRegistration kRegistration(PluginRank::kConfiguration, CreateFor,
+                                       ConfigurationSource::kAccepted);
 
 }  // namespace
 }  // namespace buckthorncart
--- a/Source/Plugins/drain.cc
+++ b/Source/Plugins/drain.cc
@@ -18,8 +18,6 @@
 constexpr Duration kQuietBeforeExit = 1s;
 /// Callers that go on sending after so long are refused.
 constexpr Duration kCallersGrace = 5s;
-/// Longest deadline of a request, after which nothing can be in flight.
-constexpr Duration kMaxDrain = 1h;
 
 }  // namespace
 
@@ -49,7 +47,9 @@
   if (lasted >= kCallersGrace) ctx.Shared().refusing_callers = true;
   const bool quiet = ctx.Now() - busy_at_ >= kQuietBeforeExit;
   const bool done = quiet || (ctx.Shared().refusing_callers && !busy);
-  if (!done && lasted < kMaxDrain) return;
+  const Duration limit =
+      std::chrono::milliseconds(ctx.Settings().drain_limit_ms);
+  if (!done && lasted < limit) return;
   ctx.Log(LogTopic::kDrained, {});
   ctx.Emit(Exit{});
 }
--- a/Source/Plugins/membership.h
+++ b/Source/Plugins/membership.h
@@ -68,6 +68,7 @@
   void HandleTimer(Context& ctx, const TimerFired& timer);
   void HandleDatagram(Context& ctx, const DatagramReceived& received);
   void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
+  void HandlePlatform(Context& ctx, const PlatformReplied& replied);
   void HandleScan(Context& ctx, const PlatformReply& reply);
 
   void AnnounceToPlatform(Context& ctx);
@@ -109,6 +110,10 @@
   bool buckets_stale_ = true;
   uint64_t next_sequence_ = 0;
   uint64_t scan_tag_ = 0;
+  uint64_t announcement_tag_ = 0;
+  /// The platform holds the row of this daemon and has sent those of others.
+  bool announced_ = false;
+  bool scanned_ = false;
   Time last_pull_{};
   /// Last time that a peer had the same table.
   Time last_match_{};
--- a/Source/Plugins/membership_inl.h
+++ b/Source/Plugins/membership_inl.h
@@ -53,7 +53,7 @@
   } else if (const auto* message = std::get_if<PeerMessageReceived>(&event)) {
     HandlePeerMessage(ctx, *message);
   } else if (const auto* replied = std::get_if<PlatformReplied>(&event)) {
-    if (replied->tag == scan_tag_) HandleScan(ctx, replied->reply);
+    HandlePlatform(ctx, *replied);
   } else if (const auto* backend = std::get_if<LocalBackendChanged>(&event)) {
     ctx.Shared().self.backend = backend->backend;
     UpdateSelf(ctx);
@@ -94,13 +94,30 @@
 void Membership<Rules>::AnnounceToPlatform(Context& ctx) {
   PlatformQueue& platform = *ctx.Shared().platform;
   const Member& self = ctx.Shared().self;
-  platform.Submit(
-      ctx, PlatformPriority::kRefresh,
-      Transaction{{}, {{AnnouncementKey(self.address), Encode(self)}}});
-  const auto tag = platform.Submit(
-      ctx, PlatformPriority::kRefresh,
-      ScanRows{std::string(kAnnouncementPrefix), "", kScanLimit});
-  scan_tag_ = tag.value_or(0);
+  if (!announced_) {
+    const auto tag = platform.Submit(
+        ctx, PlatformPriority::kRefresh,
+        Transaction{{}, {{AnnouncementKey(self.address), Encode(self)}}});
+    announcement_tag_ = tag.value_or(0);
+  }
+  if (!scanned_) {
+    const auto tag = platform.Submit(
+        ctx, PlatformPriority::kRefresh,
+        ScanRows{std::string(kAnnouncementPrefix), "", kScanLimit});
+    scan_tag_ = tag.value_or(0);
+  }
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::HandlePlatform(Context& ctx,
+                                       const PlatformReplied& replied) {
+  const bool ok = replied.reply.status == PlatformStatus::kOk;
+  if (replied.tag == announcement_tag_) {
+    announced_ = announced_ || ok;
+  } else if (replied.tag == scan_tag_) {
+    scanned_ = scanned_ || ok;
+    HandleScan(ctx, replied.reply);
+  }
 }
 
 template <MembershipRules Rules>
@@ -158,7 +175,10 @@
 template <MembershipRules Rules>
 void Membership<Rules>::Rejoin(Context& ctx) {
   const auto& members = ctx.Shared().members;
-  ctx.SetTimerIn(members.empty() ? kRejoinInterval : kReconnectInterval,
+  // A platform that did not answer is asked again until it does.
+  const bool known = announced_ && scanned_ && !members.empty();
+  if (ctx.Shared().self.status == MemberStatus::kAlive) AnnounceToPlatform(ctx);
+  ctx.SetTimerIn(known ? kReconnectInterval : kRejoinInterval,
                  TimerKind::kRejoin);
   if (members.empty()) {
     Join(ctx);
--- a/Source/Plugins/object_json.cc
+++ b/Source/Plugins/object_json.cc
@@ -17,6 +17,16 @@
   return text;
 }
 
+/// "a:90,b:10".
+std::string SplitText(const std::vector<WeightedService>& split) {
+  std::string text;
+  for (const WeightedService& part : split) {
+    if (!text.empty()) text += ",";
+    text += part.service + ":" + std::to_string(part.weight);
+  }
+  return text;
+}
+
 constexpr std::string_view kLabelPrefix = "label.";
 
 /// Keys that a subject's rows can have, besides labels.
@@ -30,7 +40,8 @@
     case ShowSubject::kServices:
       return {{"name", "availability", "latency", "latency-share"}, false};
     case ShowSubject::kRoutes:
-      return {{"name", "path", "service", "class", "repeatable", "timeout"},
+      return {{"name", "path", "service", "class", "repeatable", "timeout",
+               "host", "split", "attempts", "priority", "target-latency"},
               false};
     case ShowSubject::kRules:
       return {{"name", "service", "action", "class", "data-centre"}, true};
@@ -44,7 +55,8 @@
 
 /// The value in the form in which rows show it: "1s" as "1000ms".
 std::string Canonical(const Assignment& condition) {
-  if (condition.key == "latency" || condition.key == "timeout") {
+  if (condition.key == "latency" || condition.key == "timeout" ||
+      condition.key == "target-latency") {
     const auto ms = ParseMilliseconds(condition.value);
     if (ms) return std::to_string(*ms) + "ms";
   }
@@ -93,7 +105,12 @@
           {"service", route.service},
           {"class", NameOf(route.request_class)},
           {"repeatable", route.repeatable ? "yes" : "no"},
-          {"timeout", std::to_string(route.timeout_ms) + "ms"}};
+          {"timeout", std::to_string(route.timeout_ms) + "ms"},
+          {"host", route.host},
+          {"split", SplitText(route.split)},
+          {"attempts", route.max_attempts},
+          {"priority", route.priority},
+          {"target-latency", std::to_string(route.target_latency_ms) + "ms"}};
 }
 
 nlohmann::ordered_json ToJson(const Rule& rule) {
--- a/Source/Plugins/operation_lookup.cc
+++ b/Source/Plugins/operation_lookup.cc
@@ -18,7 +18,8 @@
 const PluginRegistration kRegistration(
     PluginRank::kAcceptance, [](const KernelSettings& /*settings*/) {
       return std::make_unique<OperationLookup>();
-    });
+    },
+    ConfigurationSource::kAccepted);
 
 constexpr std::string_view kOperationsPath = "/v1/operations/";
 
--- a/Source/Plugins/peer_loads.h
+++ b/Source/Plugins/peer_loads.h
@@ -10,9 +10,9 @@
 
 #include "Base/address.h"
 #include "Base/time.h"
-#include "Config/objects.h"
 #include "Plugins/backend_choice.h"
 #include "Plugins/ejection.h"
+#include "Plugins/request_rank.h"
 #include "Plugins/request_rules.h"
 #include "Plugins/service_time.h"
 #include "Wire/member.h"
@@ -35,14 +35,14 @@
     known.load_at = now;
     known.ejection.NoteAnswer();
   }
-  void NoteTime(Address peer, RequestClass request_class, Duration time,
+  void NoteTime(Address peer, uint32_t rank, Duration time,
                 Time now) {
-    TimeOf(peers_[peer], request_class).Note(time, now);
+    TimeOf(peers_[peer], rank).Note(time, now);
   }
   /// A request was given up after `elapsed`.
-  void NoteGivenUp(Address peer, RequestClass request_class, Duration elapsed,
+  void NoteGivenUp(Address peer, uint32_t rank, Duration elapsed,
                    Time now) {
-    TimeOf(peers_[peer], request_class).NoteAtLeast(elapsed, now);
+    TimeOf(peers_[peer], rank).NoteAtLeast(elapsed, now);
   }
   /// Returns true when the failure begins a new ejection.
   bool NoteFailure(Address peer, Time now) {
@@ -55,6 +55,12 @@
     known.load_at = now;
     known.ejection.NoteFailure(now);
   }
+  /// A refusal that tells how full the backend server is.
+  void NoteBusy(Address peer, uint32_t load_per_mille, Time now) {
+    Peer& known = peers_[peer];
+    known.load_per_mille = std::max(load_per_mille, kLeastBusyLoad);
+    known.load_at = now;
+  }
   /// A refusal that contradicts the record of `member`.
   void NoteUnavailable(const Member& member, Time now) {
     Peer& known = peers_[member.address];
@@ -88,7 +94,7 @@
     return it != peers_.end() && it->second.ejection.IsEjected(now);
   }
 
-  Candidate Describe(const Member& member, RequestClass request_class,
+  Candidate Describe(const Member& member, uint32_t rank,
                      Duration slow_start, Time now) const {
     Candidate candidate;
     candidate.daemon = member.address;
@@ -100,7 +106,7 @@
     candidate.load_per_mille = known.load_per_mille;
     candidate.load_age = now - known.load_at;
     candidate.expected_time =
-        known.times[static_cast<size_t>(request_class)].Expected(now);
+        known.times[rank].Expected(now);
     candidate.weight = WeightOf(known, slow_start, now);
     return candidate;
   }
@@ -113,13 +119,15 @@
     uint32_t load_per_mille = 0;
     Time load_at{};
     Ejection ejection;
-    std::array<ServiceTime, 2> times;
+    std::array<ServiceTime, kRanks> times;
     Record dropped_record;
     Time dropped_until{};
     bool seen = false;
     BackendState state = BackendState::kAbsent;
     Time ready_at{};
   };
+  /// Least load of a backend server that has no slot free, per mille.
+  static constexpr uint32_t kLeastBusyLoad = 1'000;
   /// Load assumed after a refusal for want of slots, per mille.
   static constexpr uint32_t kFullLoad = 2'000;
   /// A record that crossed with the refusal is believed again after this.
@@ -130,8 +138,8 @@
   static Record RecordOf(const Member& member) {
     return {member.incarnation, member.sequence};
   }
-  static ServiceTime& TimeOf(Peer& known, RequestClass request_class) {
-    return known.times[static_cast<size_t>(request_class)];
+  static ServiceTime& TimeOf(Peer& known, uint32_t rank) {
+    return known.times[rank];
   }
   static double WeightOf(const Peer& known, Duration slow_start, Time now) {
     const Duration age = now - known.ready_at;
--- a/Source/Plugins/receiving.cc
+++ b/Source/Plugins/receiving.cc
@@ -18,6 +18,8 @@
       return CreateWith<UniformChoice>(settings);
     case ChoicePolicy::kLeastTime:
       return CreateWith<LeastTimeChoice>(settings);
+    case ChoicePolicy::kNearest:
+      return CreateWith<NearestChoice>(settings);
     case ChoicePolicy::kTwoRandom:
       break;
   }
--- a/Source/Plugins/receiving.h
+++ b/Source/Plugins/receiving.h
@@ -19,6 +19,7 @@
 #include "Plugins/peer_loads.h"
 #include "Plugins/request_rules.h"
 #include "Plugins/retry_budget.h"
+#include "Plugins/split_picker.h"
 #include "Wire/http.h"
 #include "Wire/peer_messages.h"
 
@@ -82,11 +83,24 @@
     uint64_t incarnation = 0;
     uint32_t outcome_queries = 0;
     Time arrived{};
+    /// Daemons that have refused the call because it would have to wait.
+    std::set<Address> busy;
+    /// The call waits for a slot where it is sent next.
+    bool may_wait = false;
   };
 
   void HandleRequest(Context& ctx, const CallerRequested& requested);
   void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
   void HandleRefused(Context& ctx, Address from, const CallRefused& refused);
+  static void SetCaller(Context& ctx, Headers& headers);
+  static uint32_t RankOfCall(const Active& active);
+  /// True if the call can be sent on without a retry, as it has not left the
+  /// daemons.
+  static bool IsBusy(Context& ctx, const CallRefused& refused);
+  void HandleBusy(Context& ctx, Active& active, Address from,
+                  const CallRefused& refused);
+  /// Longest wait for a slot that the next attempt may cost.
+  static uint32_t MaxWaitMs(Context& ctx, const Active& active);
   void HandleAnswer(Context& ctx, Address from, const CallAnswer& answer);
   void HandleFailed(Context& ctx, Address from, const CallFailed& failed);
   void HandlePeerLost(Context& ctx, Address peer);
@@ -127,6 +141,7 @@
   RetryBudget retry_budget_;
   std::map<uint64_t, Active> active_;
   PeerLoads<Rules> loads_;
+  SplitPicker split_picker_;
   Counters<ReceivingCounter> counters_;
 };
 
--- a/Source/Plugins/receiving_attempts_inl.h
+++ b/Source/Plugins/receiving_attempts_inl.h
@@ -13,6 +13,11 @@
 
 /// Times that the outcome of one attempt is asked for.
 inline constexpr uint32_t kMaxOutcomeQueries = 2;
+/// Daemons that may refuse a call as busy before it waits at one of them.
+inline constexpr size_t kMaxBusy = 3;
+/// Share of its target latency that a call may wait in its own data centre
+/// while others may have a slot free.
+inline constexpr uint32_t kPatienceShare = 8;
 
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::HandleMemberChanged(Context& ctx,
@@ -55,7 +60,50 @@
            Call{active.call, active.route.service, active.route.request_class,
                 active.route.repeatable, active.idempotency_key,
                 static_cast<uint32_t>(std::max<int64_t>(remaining, 0)),
-                active.fingerprint, active.request});
+                active.fingerprint, active.request, active.route.priority,
+                MaxWaitMs(ctx, active)});
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+uint32_t Receiving<Choice, Rules>::MaxWaitMs(Context& ctx,
+                                             const Active& active) {
+  if (ctx.Settings().choice != ChoicePolicy::kNearest) return ~0U;
+  if (active.may_wait) return ~0U;
+  // A wait that leaves the answer well within its target is better than the
+  // way to another data centre.
+  return active.busy.empty() ? active.route.target_latency_ms / kPatienceShare
+                             : 0;
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+bool Receiving<Choice, Rules>::IsBusy(Context& ctx,
+                                      const CallRefused& refused) {
+  return ctx.Settings().choice == ChoicePolicy::kNearest &&
+         refused.reason == Errc::kOverloaded && !refused.reached_backend;
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::HandleBusy(Context& ctx, Active& active,
+                                          Address from,
+                                          const CallRefused& refused) {
+  loads_.NoteBusy(from, refused.load, ctx.Now());
+  active.admitting = {};
+  --active.attempts;
+  active.tried.erase(from);
+  active.busy.insert(from);
+  if (std::exchange(active.may_wait, active.busy.size() >= kMaxBusy) ||
+      ctx.Now() >= active.deadline) {
+    AnswerFailure(ctx, active.call, refused.reason, Outcome::kNotRun);
+    Finish(ctx, active.call);
+    return;
+  }
+  std::vector<Candidate> candidates = Candidates(ctx, active);
+  const bool all_busy = std::all_of(
+      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
+        return active.busy.contains(candidate.daemon);
+      });
+  active.may_wait = active.may_wait || all_busy;
+  Attempt(ctx, active);
 }
 
 template <BackendChoice Choice, RequestRules Rules>
@@ -77,6 +125,11 @@
   std::erase_if(candidates, [&](const Candidate& candidate) {
     return !HasTime(ctx, active, candidate);
   });
+  if (!active.may_wait) {
+    std::erase_if(candidates, [&](const Candidate& candidate) {
+      return active.busy.contains(candidate.daemon);
+    });
+  }
   const auto ejected = [&](const Candidate& candidate) {
     return candidate.suspect || loads_.IsEjected(candidate.daemon, ctx.Now());
   };
@@ -118,7 +171,7 @@
   }
   const Duration slow_start =
       std::chrono::milliseconds(ctx.Settings().slow_start_ms);
-  Candidate candidate = loads_.Describe(member, active.route.request_class,
+  Candidate candidate = loads_.Describe(member, RankOfCall(active),
                                         slow_start, ctx.Now());
   candidate.suspect = member.status == MemberStatus::kSuspect;
   candidate.same_data_centre = member.data_centre == ctx.Settings().data_centre;
@@ -151,7 +204,10 @@
 template <BackendChoice Choice, RequestRules Rules>
 bool Receiving<Choice, Rules>::MayRetry(Context& ctx, const Active& active,
                                         bool charged) {
-  if (active.attempts >= ctx.Settings().max_attempts) return false;
+  const uint32_t limit = active.route.max_attempts > 0
+                             ? active.route.max_attempts
+                             : ctx.Settings().max_attempts;
+  if (active.attempts >= limit) return false;
   if (ctx.Now() >= active.deadline) return false;
   std::vector<Candidate> candidates = Candidates(ctx, active);
   RemoveUnsuitable(ctx, active, candidates);
@@ -193,6 +249,7 @@
 template <BackendChoice Choice, RequestRules Rules>
 bool Receiving<Choice, Rules>::QueryOutcome(Context& ctx, Active& active) {
   if (active.route.repeatable || active.head_sent) return false;
+  if (!active.route.named_by_key) return false;
   if (active.outcome_queries >= kMaxOutcomeQueries) return false;
   ++active.outcome_queries;
   ctx.Shared().peers_used[active.admitting] = ctx.Now();
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -13,7 +13,7 @@
 
 template <BackendChoice Choice, RequestRules Rules>
 Receiving<Choice, Rules>::Receiving(const KernelSettings& settings)
-    : retry_budget_(settings.retry_budget_percent) {}
+    : retry_budget_(settings.retry_budget_percent, settings.retry_reserve) {}
 
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::Attach(Context& ctx) {
@@ -60,7 +60,11 @@
   active.call = call;
   active.snapshot = plan->snapshot;
   active.route = plan->route;
+  if (!plan->route.split.empty()) {
+    active.route.service = split_picker_.Pick(plan->route);
+  }
   active.request = requested.request;
+  SetCaller(ctx, active.request.headers);
   active.idempotency_key = plan->idempotency_key;
   active.fingerprint = plan->fingerprint;
   active.arrived = ctx.Now();
@@ -70,6 +74,22 @@
   Attempt(ctx, active);
 }
 
+/// Tells the backend server who sends, whatever the sender has said of that.
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::SetCaller(Context& ctx, Headers& headers) {
+  std::erase_if(headers, [](const Header& header) {
+    return header.name == header::kCallerService;
+  });
+  const std::string& caller = ctx.Settings().caller_service;
+  if (caller.empty()) return;
+  headers.push_back({std::string(header::kCallerService), caller});
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+uint32_t Receiving<Choice, Rules>::RankOfCall(const Active& active) {
+  return RankOf(active.route.priority, active.route.request_class);
+}
+
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::HandlePeerMessage(
     Context& ctx, const PeerMessageReceived& received) {
@@ -97,6 +117,10 @@
   Active* active = FindFrom(from, refused.id);
   if (active == nullptr) return;
   ReleasePeer(*active);
+  if (IsBusy(ctx, refused)) {
+    HandleBusy(ctx, *active, from, refused);
+    return;
+  }
   NoteRefusal(ctx, from, refused.reason);
   // A daemon that leaves is not asked again, so that retries elsewhere cannot
   // add up and need no budget.
@@ -143,7 +167,7 @@
   ctx.Emit(AnswerCaller{active->call, std::move(part), ctx.Shared().draining});
   if (end == AnswerEnd::kMore) return;
   ReleasePeer(*active);
-  loads_.NoteTime(from, active->route.request_class,
+  loads_.NoteTime(from, RankOfCall(*active),
                   ctx.Now() - active->sent_at, ctx.Now());
   CountOutcome(Outcome::kRan);
   // A cut answer is of no use to its caller.
@@ -209,7 +233,7 @@
   Active& active = it->second;
   ReleasePeer(active);
   if (active.route.repeatable) ctx.Send(active.admitting, CancelCall{call});
-  loads_.NoteGivenUp(active.admitting, active.route.request_class,
+  loads_.NoteGivenUp(active.admitting, RankOfCall(active),
                      ctx.Now() - active.sent_at, ctx.Now());
   if (active.head_sent) {
     BreakAnswer(ctx, call);
--- a/Source/Plugins/retry_budget.h
+++ b/Source/Plugins/retry_budget.h
@@ -13,13 +13,17 @@
 /// bulk calls leave half of what can be saved to interactive ones.
 class RetryBudget {
  public:
-  explicit RetryBudget(uint32_t percent) : percent_(percent) {}
+  /// `reserve` counts the retries that a quiet period can save up.
+  RetryBudget(uint32_t percent, uint32_t reserve)
+      : percent_(percent),
+        max_credit_(reserve * kRetryCost),
+        credit_(max_credit_) {}
 
-  void NoteCall() { credit_ = std::min(credit_ + percent_, kMaxCredit); }
+  void NoteCall() { credit_ = std::min(credit_ + percent_, max_credit_); }
   /// Takes one retry out of the budget; false when it is spent.
   bool Spend(RequestClass request_class) {
     const bool bulk = request_class == RequestClass::kBulk;
-    const uint32_t kept = bulk ? kMaxCredit / 2 : 0;
+    const uint32_t kept = bulk ? max_credit_ / 2 : 0;
     if (credit_ < kept + kRetryCost) return false;
     credit_ -= kRetryCost;
     return true;
@@ -27,11 +31,10 @@
 
  private:
   static constexpr uint32_t kRetryCost = 100;
-  /// Retries that a quiet period can save up.
-  static constexpr uint32_t kMaxCredit = 10 * kRetryCost;
 
   uint32_t percent_;
-  uint32_t credit_ = kMaxCredit;
+  uint32_t max_credit_;
+  uint32_t credit_;
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/snapshot_writer.cc
+++ b/Source/Plugins/snapshot_writer.cc
@@ -16,7 +16,8 @@
 const PluginRegistration kRegistration(
     PluginRank::kAcceptance, [](const KernelSettings& /*settings*/) {
       return std::make_unique<SnapshotWriter>();
-    });
+    },
+    ConfigurationSource::kAccepted);
 
 /// Interval at which a daemon looks whether it has become the owner.
 constexpr Duration kOwnerCheckInterval = 10s;
--- a/Source/Wire/http.h
+++ b/Source/Wire/http.h
@@ -71,6 +71,13 @@
 inline constexpr std::string_view kRequestId = "x-request-id";
 inline constexpr std::string_view kIdempotencyKey = "idempotency-key";
 inline constexpr std::string_view kLoad = "buckthorncart-load";
+/// Service whose backend server sent the request.
+inline constexpr std::string_view kCallerService =
+    "buckthorncart-caller-service";
+/// Start of the backend server that may run the request.
+inline constexpr std::string_view kBackendId = "buckthorncart-backend-id";
+inline constexpr std::string_view kRetryAfter = "retry-after";
+inline constexpr std::string_view kHost = "host";
 }  // namespace header
 
 }  // namespace buckthorncart
--- /dev/null
+++ b/Source/Wire/http_answer_reader.cc
@@ -0,0 +1,112 @@
+#include "Wire/http_answer_reader.h"
+
+#include <charconv>
+
+#include "Wire/message_parser.h"
+
+namespace buckthorncart {
+namespace {
+
+constexpr unsigned kFirstFinalStatus = 200;
+
+}  // namespace
+
+class HttpAnswerReader::Parser {
+ public:
+  explicit Parser(const HttpLimits& limits) : messages(limits) {}
+  MessageParser<false> messages;
+  bool to_head = false;
+  bool head_taken = false;
+  bool headers_read = false;
+  Headers headers;
+};
+
+HttpAnswerReader::HttpAnswerReader(const HttpLimits& limits)
+    : parser_(std::make_unique<Parser>(limits)) {}
+
+HttpAnswerReader::~HttpAnswerReader() = default;
+
+void HttpAnswerReader::Begin(std::string_view method) {
+  parser_->messages.Reset();
+  parser_->head_taken = false;
+  parser_->headers_read = false;
+  parser_->to_head = method == "HEAD";
+}
+
+void HttpAnswerReader::Append(std::string_view bytes) {
+  parser_->messages.Append(bytes);
+}
+
+ReadState HttpAnswerReader::Advance() {
+  MessageParser<false>& messages = parser_->messages;
+  while (true) {
+    messages.Get().skip(parser_->to_head);
+    const ReadState state = messages.Advance();
+    const bool interim =
+        messages.Get().is_header_done() &&
+        messages.Get().get().result_int() < kFirstFinalStatus;
+    if (state != ReadState::kWhole || !interim) return state;
+    messages.Reset();
+  }
+}
+
+ReadState HttpAnswerReader::Finish() { return parser_->messages.Finish(); }
+
+bool HttpAnswerReader::HasHead() const {
+  const auto* library = parser_->messages.Current();
+  return library != nullptr && library->is_header_done();
+}
+
+const Headers& HttpAnswerReader::Peek() {
+  if (!std::exchange(parser_->headers_read, true)) {
+    parser_->headers = parser_->messages.TakeHeaders();
+  }
+  return parser_->headers;
+}
+
+AnswerPart HttpAnswerReader::Take() {
+  auto& message = parser_->messages.Get().get();
+  AnswerPart part;
+  if (!std::exchange(parser_->head_taken, true)) {
+    part.status = static_cast<uint16_t>(message.result_int());
+    Peek();
+    part.headers = std::move(parser_->headers);
+    const auto length = message[boost::beast::http::field::content_length];
+    if (!length.empty()) {
+      part.headers.push_back(
+          {"content-length",
+           std::string(MessageParser<false>::ToView(length))});
+    }
+  }
+  part.body = std::exchange(message.body(), {});
+  if (parser_->messages.Get().is_done()) part.end = AnswerEnd::kComplete;
+  return part;
+}
+
+size_t HttpAnswerReader::BodyBytes() const {
+  const auto* library = parser_->messages.Current();
+  return library == nullptr ? 0 : library->get().body().size();
+}
+
+bool HttpAnswerReader::HasRest() const { return parser_->messages.HasRest(); }
+
+bool HttpAnswerReader::KeepsAlive() const {
+  const auto* library = parser_->messages.Current();
+  return library != nullptr && library->keep_alive();
+}
+
+unsigned HttpAnswerReader::KeepAliveSeconds() const {
+  const auto* library = parser_->messages.Current();
+  if (library == nullptr) return 0;
+  const auto value = MessageParser<false>::ToView(
+      library->get()[boost::beast::http::field::keep_alive]);
+  constexpr std::string_view kName = "timeout=";
+  const size_t at = value.find(kName);
+  if (at == std::string_view::npos) return 0;
+  unsigned seconds = 0;
+  const char* start = value.data() + at + kName.size();
+  std::from_chars(start, value.data() + value.size(), seconds);
+  return seconds;
+}
+
+}  // namespace buckthorncart
--- a/Source/Wire/member.h
+++ b/Source/Wire/member.h
@@ -40,9 +40,13 @@
   /// Requests that it can run at once.
   uint32_t slots = 0;
   std::map<std::string, std::string> labels;
+  /// Names one start of the backend server; empty if it names none.
+  std::string id;
+  /// When it started, milliseconds since the epoch; 0 if it does not tell.
+  uint64_t started_ms = 0;
 
   bool operator==(const BackendAnnouncement&) const = default;
-  MSGPACK_DEFINE(service, state, slots, labels)
+  MSGPACK_DEFINE(service, state, slots, labels, id, started_ms)
 };
 
 /// A daemon, with the backend server beside it.
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -118,15 +118,22 @@
   /// Digest of method, path and body, by which crashes are attributed.
   uint64_t fingerprint = 0;
   HttpRequest request;
+  uint32_t priority = 0;
+  /// Longest wait for a slot, milliseconds; a longer one is refused.
+  uint32_t max_wait_ms = ~0U;
   MSGPACK_DEFINE(id, service, request_class, repeatable, idempotency_key,
-                 remaining_ms, fingerprint, request)
+                 remaining_ms, fingerprint, request, priority, max_wait_ms)
 };
 
 /// The call was not run and will not be.
 struct CallRefused {
   uint64_t id = 0;
   Errc reason = Errc::kOk;
-  MSGPACK_DEFINE(id, reason)
+  /// Share of slots in use, per mille.
+  uint32_t load = 0;
+  /// The backend server itself has refused the request.
+  bool reached_backend = false;
+  MSGPACK_DEFINE(id, reason, load, reached_backend)
 };
 
 /// A piece of the answer; `load` is the share of slots in use, per mille.
--- a/Tests/Config/configuration_test.cc
+++ b/Tests/Config/configuration_test.cc
@@ -44,8 +44,8 @@
 TEST_CASE("configuration: routes match the longest prefix on a boundary") {
   Configuration configuration = WithRoute();
   configuration.routes["all"] = {"all", "/", "catalogus"};
-  CHECK(configuration.FindRoute("/proofs/7?x=1")->name == "proofs");
-  CHECK(configuration.FindRoute("/proofsheet")->name == "all");
+  CHECK(configuration.FindRoute("", "/proofs/7?x=1")->name == "proofs");
+  CHECK(configuration.FindRoute("", "/proofsheet")->name == "all");
 }
 
 TEST_CASE("configuration: deny goes before allow, allow excludes the rest") {
