Order starts by weight for each unit of time and bound waits by the target

Change: Smith's rule over routes with a least share for the last, expected waits from the denser routes' recent work, refusal at once where the target would be missed, with a time to return; refusals between daemons say how long the wait would be; retries of failed answers for repeatable calls; failing backend servers are chosen last. They are kept by service from here on.

--- a/Source/Config/objects.h
+++ b/Source/Config/objects.h
@@ -63,9 +63,9 @@
   /// Deadline of requests whose caller gives none, milliseconds.
   uint32_t timeout_ms = 5'000;
   /// Host of the requests; empty for every host.
-  std::string host;
+  std::string host = {};
   /// Services that share the requests by weight; empty for `service` alone.
-  std::vector<WeightedService> split;
+  std::vector<WeightedService> split = {};
   /// Backend servers that may get one call; 0 for the daemon's setting.
   uint32_t max_attempts = 0;
   /// Time within which an answer is of full use, milliseconds; 0 for none.
--- a/Source/Kernel/kernel_settings.h
+++ b/Source/Kernel/kernel_settings.h
@@ -124,6 +124,8 @@
   /// Longest time from the request to end until the exit; calls may last that
   /// long.
   uint32_t drain_limit_ms = 3'600'000;
+  /// Time after which callers that go on sending are refused.
+  uint32_t callers_grace_ms = 5'000;
 
   MSGPACK_DEFINE(self, data_centre, peers, backend, seed, spreading,
                  spreading_fanout, holders_timeout_ms, decision_timeout_ms,
@@ -133,7 +135,7 @@
                  slow_start_ms, platform_timeout_ms, platform_queue_limit,
                  platform_concurrency, choice, answer_window_bytes, source,
                  watch_wait_ms, caller_service, backend_lease_ms, retry_reserve,
-                 drain_limit_ms)
+                 drain_limit_ms, callers_grace_ms)
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/admission.h
+++ b/Source/Plugins/admission.h
@@ -2,9 +2,9 @@
 /// \file
 /// Admits requests to the backend server beside this daemon.
 
-#include <array>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -14,11 +14,11 @@
 #include "Kernel/claim_events.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
-#include "Plugins/admission_queue.h"
 #include "Plugins/backend_life.h"
 #include "Plugins/connect_gate.h"
 #include "Plugins/crash_suspects.h"
 #include "Plugins/request_rules.h"
+#include "Plugins/run_queue.h"
 #include "Plugins/service_time.h"
 #include "Plugins/shed_limit.h"
 #include "Wire/member.h"
@@ -80,19 +80,21 @@
   void HandleDeadline(Context& ctx, uint64_t number);
   void HandleAnnouncement(Context& ctx, const OperatorRequested& request);
   void SetBackend(Context& ctx, BackendAnnouncement backend);
-  Errc ReasonToRefuse(Context& ctx, const Call& call) const;
+  Errc ReasonToRefuse(Context& ctx, const Call& call);
   void HandleTick(Context& ctx);
-  void EvictFor(Context& ctx, uint32_t rank);
+  void EvictFor(Context& ctx, const Call& call);
   void RefuseQueued(Context& ctx, Errc reason);
   static bool IsShed(const AnswerPart& part);
   void HandleShed(Context& ctx, uint64_t number);
   void CancelStarted(Context& ctx, uint64_t number);
   bool NoteBroken(Context& ctx, uint64_t fingerprint);
   void SendPart(Context& ctx, Run& run, AnswerPart part);
-  /// Expected wait of a new call of `rank` for a slot.
-  Duration WaitOf(Context& ctx, uint32_t rank) const;
-  bool IsTooLate(Context& ctx, uint32_t rank, Duration remaining,
-                 Duration wait) const;
+  /// Expected wait of a new call for a slot.
+  Duration WaitOf(Context& ctx, const Call& call);
+  bool IsTooLate(Context& ctx, const Call& call, Duration remaining,
+                 Duration wait);
+  /// True if the call would miss its target by waiting.
+  bool MissesTarget(Context& ctx, const Call& call, Duration wait);
   void HandleClaimDenied(Context& ctx, const ClaimDenied& denied);
   /// Starts the run or queues it for a slot.
   void StartOrQueue(Context& ctx, uint64_t number);
@@ -100,19 +102,20 @@
   void StartRun(Context& ctx, uint64_t number);
   void EndRun(Context& ctx, uint64_t number);
   void Refuse(Context& ctx, const CallKey& key, Errc reason,
-              bool reached_backend = false);
+              bool reached_backend = false, Duration wait = {});
   void NoteBackendLost(Context& ctx);
-  static uint32_t RankOfRun(const Run& run);
+  static double WeightOfCall(const Call& call);
   uint32_t Slots(Context& ctx) const;
   uint32_t LoadPerMille(Context& ctx) const;
-  ServiceTime& TimeOf(const Run& run);
+  ServiceTime& TimeOf(const Call& call);
 
   BackendAnnouncement backend_;
   Time last_announcement_{};
   std::map<uint64_t, Run> runs_;
   std::map<CallKey, uint64_t> run_of_call_;
-  AdmissionQueue<Rules> queue_;
-  std::array<ServiceTime, kRanks> service_times_;
+  RunQueue<Rules> queue_;
+  /// By route.
+  std::map<std::string, ServiceTime> service_times_;
   BackendLife life_;
   ConnectGate gate_;
   CrashSuspects suspects_;
--- a/Source/Plugins/admission_inl.h
+++ b/Source/Plugins/admission_inl.h
@@ -119,7 +119,7 @@
 }
 
 template <RequestRules Rules>
-Errc Admission<Rules>::ReasonToRefuse(Context& ctx, const Call& call) const {
+Errc Admission<Rules>::ReasonToRefuse(Context& ctx, const Call& call) {
   if (ctx.Shared().draining) return Errc::kDraining;
   if (backend_.state == BackendState::kDraining) return Errc::kDraining;
   if (backend_.state != BackendState::kReady) return Errc::kNotReady;
@@ -131,17 +131,17 @@
   if (gate_.IsClosed(ctx.Now())) return Errc::kBackendServerFailed;
   const uint32_t slots = Slots(ctx);
   if (slots == 0) return Errc::kOverloaded;
-  const uint32_t rank = RankOf(call.priority, call.request_class);
   const Duration remaining = std::chrono::milliseconds(call.remaining_ms);
-  if (IsTooLate(ctx, rank, remaining, Duration::zero())) {
+  if (IsTooLate(ctx, call, remaining, Duration::zero())) {
     return Errc::kDeadlineExpired;
   }
   if (slots_in_use_ < slots) return Errc::kOk;
-  const bool full = queue_.Size() >= ctx.Settings().queue_limit &&
-                    !queue_.CanEvictFor(rank);
-  const Duration wait = WaitOf(ctx, rank);
+  const bool full =
+      queue_.Size() >= ctx.Settings().queue_limit &&
+      !queue_.CanEvictFor(call.route, WeightOfCall(call));
+  const Duration wait = WaitOf(ctx, call);
   if (full || wait > std::chrono::milliseconds(call.max_wait_ms) ||
-      IsTooLate(ctx, rank, remaining, wait)) {
+      MissesTarget(ctx, call, wait) || IsTooLate(ctx, call, remaining, wait)) {
     return Errc::kOverloaded;
   }
   return Errc::kOk;
@@ -155,7 +155,7 @@
   if (run_of_call_.contains(key)) return;
   const Errc reason = ReasonToRefuse(ctx, call);
   if (reason != Errc::kOk) {
-    Refuse(ctx, key, reason);
+    Refuse(ctx, key, reason, false, WaitOf(ctx, call));
     return;
   }
   const uint64_t number = ++next_run_;
@@ -195,14 +195,19 @@
     return;
   }
   counters_.Add(AdmissionCounter::kQueued);
-  const uint32_t rank = RankOfRun(it->second);
-  if (queue_.Size() >= ctx.Settings().queue_limit) EvictFor(ctx, rank);
-  queue_.Push(number, rank);
+  const Call& call = it->second.call;
+  if (queue_.Size() >= ctx.Settings().queue_limit) EvictFor(ctx, call);
+  queue_.Push(number, call.route, WeightOfCall(call));
+  // From then on it could not end in time, so that it is refused at once.
+  const Duration last_start = it->second.deadline - ctx.Now() -
+                              TimeOf(call).Expected(ctx.Now());
+  ctx.SetTimerIn(std::max<Duration>(last_start, 1ms),
+                 TimerKind::kQueueDeadline, number);
 }
 
 template <RequestRules Rules>
-void Admission<Rules>::EvictFor(Context& ctx, uint32_t rank) {
-  const auto evicted = queue_.EvictFor(rank);
+void Admission<Rules>::EvictFor(Context& ctx, const Call& call) {
+  const auto evicted = queue_.EvictFor(call.route, WeightOfCall(call));
   if (!evicted) return;
   counters_.Add(AdmissionCounter::kEvicted);
   const CallKey key = runs_.at(*evicted).key;
@@ -228,27 +233,29 @@
 }
 
 template <RequestRules Rules>
-uint32_t Admission<Rules>::RankOfRun(const Run& run) {
-  return RankOf(run.call.priority, run.call.request_class);
+double Admission<Rules>::WeightOfCall(const Call& call) {
+  return WeightOf(call.priority, call.request_class);
 }
 
 template <RequestRules Rules>
-Duration Admission<Rules>::WaitOf(Context& ctx, uint32_t rank) const {
-  const Time now = ctx.Now();
-  // The next slot becomes free after a share of one run.
-  Duration work = service_times_[rank].Expected(now);
-  queue_.VisitAhead(rank, [&](uint32_t ahead, size_t n) {
-    work += service_times_[ahead].Expected(now) * n;
-  });
-  return work / std::max(Slots(ctx), 1U);
+Duration Admission<Rules>::WaitOf(Context& ctx, const Call& call) {
+  return queue_.WaitOf(call.route, WeightOfCall(call), Slots(ctx), ctx.Now());
 }
 
 /// True if a call that waits for `wait` is expected to end after its deadline.
 template <RequestRules Rules>
-bool Admission<Rules>::IsTooLate(Context& ctx, uint32_t rank,
-                                 Duration remaining, Duration wait) const {
+bool Admission<Rules>::IsTooLate(Context& ctx, const Call& call,
+                                 Duration remaining, Duration wait) {
   if (!Rules::kCheckServiceTime) return false;
-  return remaining < wait + service_times_[rank].Expected(ctx.Now());
+  return remaining < wait + TimeOf(call).Expected(ctx.Now());
+}
+
+template <RequestRules Rules>
+bool Admission<Rules>::MissesTarget(Context& ctx, const Call& call,
+                                    Duration wait) {
+  if (call.target_ms == ~0U) return false;
+  const Duration target = std::chrono::milliseconds(call.target_ms);
+  return target < wait + TimeOf(call).Expected(ctx.Now());
 }
 
 template <RequestRules Rules>
@@ -258,7 +265,7 @@
     if (!number) return;
     const Run& run = runs_.at(*number);
     const Duration remaining = run.deadline - ctx.Now();
-    if (!IsTooLate(ctx, RankOfRun(run), remaining, Duration::zero())) {
+    if (!IsTooLate(ctx, run.call, remaining, Duration::zero())) {
       StartRun(ctx, *number);
       continue;
     }
@@ -275,6 +282,7 @@
   run.started = true;
   run.started_at = ctx.Now();
   ++slots_in_use_;
+  queue_.NoteStart(run.call.route, ctx.Now());
   counters_.Add(AdmissionCounter::kRuns);
   HttpRequest request = run.call.request;
   const auto remaining =
@@ -306,10 +314,11 @@
 
 template <RequestRules Rules>
 void Admission<Rules>::Refuse(Context& ctx, const CallKey& key, Errc reason,
-                              bool reached_backend) {
+                              bool reached_backend, Duration wait) {
   counters_.Add(AdmissionCounter::kRefused);
   ctx.Send(key.first, CallRefused{key.second, reason, LoadPerMille(ctx),
-                                  reached_backend});
+                                  reached_backend,
+                                  static_cast<uint32_t>(ToMilliseconds(wait))});
 }
 
 template <RequestRules Rules>
@@ -326,8 +335,8 @@
 }
 
 template <RequestRules Rules>
-ServiceTime& Admission<Rules>::TimeOf(const Run& run) {
-  return service_times_[RankOfRun(run)];
+ServiceTime& Admission<Rules>::TimeOf(const Call& call) {
+  return service_times_[call.route];
 }
 
 }  // namespace buckthorncart
--- a/Source/Plugins/admission_runs_inl.h
+++ b/Source/Plugins/admission_runs_inl.h
@@ -49,7 +49,9 @@
     gate_.Open();
     ctx.Shared().crashes->NoteSuccess(ctx, run.call.fingerprint);
     shed_limit_.NoteAnswer(backend_.slots);
-    TimeOf(run).Note(ctx.Now() - run.started_at, ctx.Now());
+    const Duration time = ctx.Now() - run.started_at;
+    TimeOf(run.call).Note(time, ctx.Now());
+    queue_.NoteTime(run.call.route, time);
   }
   EndRun(ctx, answered.run);
   StartQueued(ctx);
@@ -67,7 +69,9 @@
   counters_.Add(AdmissionCounter::kShed);
   const CallKey key = runs_.at(number).key;
   EndRun(ctx, number);
-  shed_limit_.NoteShed(ctx.Now(), slots_in_use_);
+  // One that tells its starts also tells its slots: it sheds for reasons that
+  // a lower limit would not help.
+  if (backend_.id.empty()) shed_limit_.NoteShed(ctx.Now(), slots_in_use_);
   Refuse(ctx, key, Errc::kOverloaded, true);
   StartQueued(ctx);
 }
@@ -101,7 +105,7 @@
   const Run& run = runs_.at(number);
   if (run.started) {
     ctx.Emit(CancelBackend{number});
-    TimeOf(run).NoteAtLeast(ctx.Now() - run.started_at, ctx.Now());
+    TimeOf(run.call).NoteAtLeast(ctx.Now() - run.started_at, ctx.Now());
   }
   EndRun(ctx, number);
   StartQueued(ctx);
@@ -123,7 +127,7 @@
   const auto it = runs_.find(number);
   if (it == runs_.end()) return;
   if (it->second.started) {
-    CancelStarted(ctx, number);
+    if (ctx.Now() >= it->second.deadline) CancelStarted(ctx, number);
     return;
   }
   if (it->second.awaiting_claim) return;
@@ -141,7 +145,7 @@
   if (!Rules::kCancelExpired || !run.call.repeatable) return;
   counters_.Add(AdmissionCounter::kCancelled);
   ctx.Emit(CancelBackend{number});
-  TimeOf(run).NoteAtLeast(ctx.Now() - run.started_at, ctx.Now());
+  TimeOf(run.call).NoteAtLeast(ctx.Now() - run.started_at, ctx.Now());
   if (run.head_sent) {
     AnswerPart part;
     part.end = AnswerEnd::kBroken;
--- a/Source/Plugins/backend_choice.cc
+++ b/Source/Plugins/backend_choice.cc
@@ -65,13 +65,15 @@
 double NearestCost(const Candidate& candidate) {
   constexpr double kLeastTimeUs = 10'000.0;
   constexpr double kCrossingUs = 60'000.0;
+  constexpr double kFailureUs = 1'000'000.0;
   const double time = std::max(
       static_cast<double>(candidate.expected_time.count()), kLeastTimeUs);
   const double share = std::max(OwnShare(candidate, candidate.in_flight + 1),
                                 ReportedShare(candidate)) /
                        candidate.weight;
   const double crossing = candidate.same_data_centre ? 0.0 : kCrossingUs;
-  return time * (1.0 + share) + crossing;
+  const double failures = candidate.failure_share * kFailureUs;
+  return time * (1.0 + share) + crossing + failures;
 }
 
 size_t PickOne(Context& ctx, const std::vector<size_t>& from) {
--- a/Source/Plugins/backend_choice.h
+++ b/Source/Plugins/backend_choice.h
@@ -26,6 +26,8 @@
   Duration load_age{};
   /// Time in which it answered lately; zero when unknown.
   Duration expected_time{};
+  /// Share of its answers that were failures lately.
+  double failure_share = 0;
   /// Share of its slots that may be used, below 1 during slow start.
   double weight = 1.0;
 };
--- a/Source/Plugins/call_failure.cc
+++ b/Source/Plugins/call_failure.cc
@@ -1,9 +1,23 @@
 #include "Plugins/call_failure.h"
 
+#include <cstdio>
 #include <nlohmann/json.hpp>
 
 namespace buckthorncart {
 
+namespace {
+
+/// Seconds with three decimals.
+std::string SecondsText(Duration duration) {
+  char text[32];
+  const int n =
+      std::snprintf(text, sizeof(text), "%.3f",
+                    static_cast<double>(ToMilliseconds(duration)) / 1'000.0);
+  return {text, static_cast<size_t>(n)};
+}
+
+}  // namespace
+
 uint16_t CallStatusOf(Errc reason, Outcome outcome) {
   if (outcome == Outcome::kUnknown) return 502;
   switch (reason) {
@@ -39,7 +53,8 @@
          FindHeader(part.headers, header::kOutcome) == NameOf(Outcome::kNotRun);
 }
 
-AnswerPart MakeFailureAnswer(Errc reason, Outcome outcome) {
+AnswerPart MakeFailureAnswer(Errc reason, Outcome outcome,
+                             Duration retry_after) {
   const nlohmann::ordered_json body = {{"error", NameOf(reason)},
                                        {"outcome", NameOf(outcome)}};
   AnswerPart part;
@@ -47,6 +62,10 @@
   part.headers = {{"content-type", "application/json"},
                   {std::string(header::kOutcome), std::string(NameOf(outcome))},
                   {std::string(header::kReason), std::string(NameOf(reason))}};
+  if (retry_after > Duration::zero()) {
+    part.headers.push_back(
+        {std::string(header::kRetryAfter), SecondsText(retry_after)});
+  }
   part.body = body.dump() + "\n";
   part.end = AnswerEnd::kComplete;
   return part;
--- a/Source/Plugins/call_failure.h
+++ b/Source/Plugins/call_failure.h
@@ -3,6 +3,7 @@
 /// Answers to callers whose request could not be served.
 
 #include "Base/error.h"
+#include "Base/time.h"
 #include "Wire/http.h"
 
 namespace buckthorncart {
@@ -19,6 +20,8 @@
 bool IsShedAnswer(const AnswerPart& part);
 
 /// Whole answer with a typed JSON body and the outcome header.
-AnswerPart MakeFailureAnswer(Errc reason, Outcome outcome);
+/// `retry_after` tells when the caller may return; zero for no word.
+AnswerPart MakeFailureAnswer(Errc reason, Outcome outcome,
+                             Duration retry_after = {});
 
 }  // namespace buckthorncart
--- a/Source/Plugins/drain.cc
+++ b/Source/Plugins/drain.cc
@@ -16,8 +16,6 @@
 /// Peers have learned of the drain and callers have been told to go elsewhere
 /// when nothing has been in flight for so long.
 constexpr Duration kQuietBeforeExit = 1s;
-/// Callers that go on sending after so long are refused.
-constexpr Duration kCallersGrace = 5s;
 
 }  // namespace
 
@@ -44,7 +42,9 @@
                     ctx.Shared().unrecorded_outcomes > 0;
   const Duration lasted = ctx.Now() - began_;
   if (busy) busy_at_ = ctx.Now();
-  if (lasted >= kCallersGrace) ctx.Shared().refusing_callers = true;
+  const Duration callers_grace =
+      std::chrono::milliseconds(ctx.Settings().callers_grace_ms);
+  if (lasted >= callers_grace) ctx.Shared().refusing_callers = true;
   const bool quiet = ctx.Now() - busy_at_ >= kQuietBeforeExit;
   const bool done = quiet || (ctx.Shared().refusing_callers && !busy);
   const Duration limit =
--- a/Source/Plugins/peer_loads.h
+++ b/Source/Plugins/peer_loads.h
@@ -3,16 +3,16 @@
 /// What a receiving daemon knows of the backend servers beside its peers.
 
 #include <algorithm>
-#include <array>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <utility>
 
 #include "Base/address.h"
 #include "Base/time.h"
 #include "Plugins/backend_choice.h"
 #include "Plugins/ejection.h"
-#include "Plugins/request_rank.h"
+#include "Plugins/failure_share.h"
 #include "Plugins/request_rules.h"
 #include "Plugins/service_time.h"
 #include "Wire/member.h"
@@ -35,14 +35,18 @@
     known.load_at = now;
     known.ejection.NoteAnswer();
   }
-  void NoteTime(Address peer, uint32_t rank, Duration time,
+  void NoteTime(Address peer, const std::string& route, Duration time,
                 Time now) {
-    TimeOf(peers_[peer], rank).Note(time, now);
+    TimeOf(peers_[peer], route).Note(time, now);
   }
   /// A request was given up after `elapsed`.
-  void NoteGivenUp(Address peer, uint32_t rank, Duration elapsed,
+  void NoteGivenUp(Address peer, const std::string& route, Duration elapsed,
                    Time now) {
-    TimeOf(peers_[peer], rank).NoteAtLeast(elapsed, now);
+    TimeOf(peers_[peer], route).NoteAtLeast(elapsed, now);
+  }
+  /// An answer said whether the backend server itself failed.
+  void NoteOutcome(Address peer, bool failed, Time now) {
+    peers_[peer].failures.Note(failed, now);
   }
   /// Returns true when the failure begins a new ejection.
   bool NoteFailure(Address peer, Time now) {
@@ -94,7 +98,7 @@
     return it != peers_.end() && it->second.ejection.IsEjected(now);
   }
 
-  Candidate Describe(const Member& member, uint32_t rank,
+  Candidate Describe(const Member& member, const std::string& route,
                      Duration slow_start, Time now) const {
     Candidate candidate;
     candidate.daemon = member.address;
@@ -105,9 +109,10 @@
     candidate.in_flight = known.in_flight;
     candidate.load_per_mille = known.load_per_mille;
     candidate.load_age = now - known.load_at;
+    candidate.failure_share = known.failures.At(now);
     candidate.expected_time =
-        known.times[rank].Expected(now);
-    candidate.weight = WeightOf(known, slow_start, now);
+        ExpectedOf(known, route, now);
+    candidate.weight = ShareOf(known, slow_start, now);
     return candidate;
   }
 
@@ -119,7 +124,8 @@
     uint32_t load_per_mille = 0;
     Time load_at{};
     Ejection ejection;
-    std::array<ServiceTime, kRanks> times;
+    FailureShare failures;
+    std::map<std::string, ServiceTime> times;
     Record dropped_record;
     Time dropped_until{};
     bool seen = false;
@@ -138,10 +144,16 @@
   static Record RecordOf(const Member& member) {
     return {member.incarnation, member.sequence};
   }
-  static ServiceTime& TimeOf(Peer& known, uint32_t rank) {
-    return known.times[rank];
+  static ServiceTime& TimeOf(Peer& known, const std::string& route) {
+    return known.times[route];
+  }
+  static Duration ExpectedOf(const Peer& known, const std::string& route,
+                             Time now) {
+    const auto it = known.times.find(route);
+    return it == known.times.end() ? Duration::zero()
+                                   : it->second.Expected(now);
   }
-  static double WeightOf(const Peer& known, Duration slow_start, Time now) {
+  static double ShareOf(const Peer& known, Duration slow_start, Time now) {
     const Duration age = now - known.ready_at;
     const bool grown = known.ready_at == Time{} || age >= slow_start;
     if (!Rules::kSlowStart || grown) return 1.0;
--- a/Source/Plugins/receiving.h
+++ b/Source/Plugins/receiving.h
@@ -18,7 +18,7 @@
 #include "Plugins/backend_choice.h"
 #include "Plugins/peer_loads.h"
 #include "Plugins/request_rules.h"
-#include "Plugins/retry_budget.h"
+#include "Plugins/retry_budgets.h"
 #include "Plugins/split_picker.h"
 #include "Wire/http.h"
 #include "Wire/peer_messages.h"
@@ -87,13 +87,14 @@
     std::set<Address> busy;
     /// The call waits for a slot where it is sent next.
     bool may_wait = false;
+    /// Shortest wait that a daemon has refused it for.
+    Duration least_wait{};
   };
 
   void HandleRequest(Context& ctx, const CallerRequested& requested);
   void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
   void HandleRefused(Context& ctx, Address from, const CallRefused& refused);
   static void SetCaller(Context& ctx, Headers& headers);
-  static uint32_t RankOfCall(const Active& active);
   /// True if the call can be sent on without a retry, as it has not left the
   /// daemons.
   static bool IsBusy(Context& ctx, const CallRefused& refused);
@@ -101,6 +102,8 @@
                   const CallRefused& refused);
   /// Longest wait for a slot that the next attempt may cost.
   static uint32_t MaxWaitMs(Context& ctx, const Active& active);
+  /// Time left to the target of the answer.
+  static uint32_t TargetMs(Context& ctx, const Active& active);
   void HandleAnswer(Context& ctx, Address from, const CallAnswer& answer);
   void HandleFailed(Context& ctx, Address from, const CallFailed& failed);
   void HandlePeerLost(Context& ctx, Address peer);
@@ -121,6 +124,11 @@
                     std::vector<Candidate>& candidates) const;
   void NoteFailure(Context& ctx, Address peer);
   void NoteRefusal(Context& ctx, Address from, Errc reason);
+  /// True if the answer is a failure that another backend server may not
+  /// repeat, and the call has been sent there.
+  bool RetryFailedAnswer(Context& ctx, Active& active, Address from,
+                         const AnswerPart& part);
+  Duration RetryAfterFor(Context& ctx, const Active& active, Errc reason);
   void HandleMissingPart(Context& ctx, Active& active, Address from);
   void RemoveUnsuitable(Context& ctx, const Active& active,
                         std::vector<Candidate>& candidates) const;
@@ -138,7 +146,7 @@
   void Finish(Context& ctx, uint64_t call);
 
   Choice choice_;
-  RetryBudget retry_budget_;
+  RetryBudgets retry_budgets_;
   std::map<uint64_t, Active> active_;
   PeerLoads<Rules> loads_;
   SplitPicker split_picker_;
--- a/Source/Plugins/receiving_attempts_inl.h
+++ b/Source/Plugins/receiving_attempts_inl.h
@@ -61,7 +61,18 @@
                 active.route.repeatable, active.idempotency_key,
                 static_cast<uint32_t>(std::max<int64_t>(remaining, 0)),
                 active.fingerprint, active.request, active.route.priority,
-                MaxWaitMs(ctx, active)});
+                MaxWaitMs(ctx, active), active.route.name,
+                TargetMs(ctx, active)});
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+uint32_t Receiving<Choice, Rules>::TargetMs(Context& ctx,
+                                            const Active& active) {
+  if (active.route.target_latency_ms == 0) return ~0U;
+  const Duration target =
+      std::chrono::milliseconds(active.route.target_latency_ms);
+  const Duration left = target - (ctx.Now() - active.arrived);
+  return static_cast<uint32_t>(std::max<int64_t>(ToMilliseconds(left), 0));
 }
 
 template <BackendChoice Choice, RequestRules Rules>
@@ -87,6 +98,9 @@
                                           Address from,
                                           const CallRefused& refused) {
   loads_.NoteBusy(from, refused.load, ctx.Now());
+  const Duration wait = std::chrono::milliseconds(refused.wait_ms);
+  active.least_wait =
+      active.busy.empty() ? wait : std::min(active.least_wait, wait);
   active.admitting = {};
   --active.attempts;
   active.tried.erase(from);
@@ -171,7 +185,7 @@
   }
   const Duration slow_start =
       std::chrono::milliseconds(ctx.Settings().slow_start_ms);
-  Candidate candidate = loads_.Describe(member, RankOfCall(active),
+  Candidate candidate = loads_.Describe(member, active.route.name,
                                         slow_start, ctx.Now());
   candidate.suspect = member.status == MemberStatus::kSuspect;
   candidate.same_data_centre = member.data_centre == ctx.Settings().data_centre;
@@ -213,7 +227,8 @@
   RemoveUnsuitable(ctx, active, candidates);
   if (candidates.empty()) return false;
   return !charged || !Rules::kBoundRetries ||
-         retry_budget_.Spend(active.route.request_class);
+         retry_budgets_.Of(active.route.service)
+             .Spend(active.route.request_class);
 }
 
 template <BackendChoice Choice, RequestRules Rules>
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -8,12 +8,17 @@
 #include "Plugins/call_failure.h"
 #include "Plugins/call_plan.h"
 #include "Plugins/receiving.h"
+#include "Plugins/retry_after.h"
 
 namespace buckthorncart {
 
+/// Time after the deadline in which the word that a call has not run can
+/// still come from where it waits.
+inline constexpr Duration kAnswerGrace = 30ms;
+
 template <BackendChoice Choice, RequestRules Rules>
 Receiving<Choice, Rules>::Receiving(const KernelSettings& settings)
-    : retry_budget_(settings.retry_budget_percent, settings.retry_reserve) {}
+    : retry_budgets_(settings.retry_budget_percent, settings.retry_reserve) {}
 
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::Attach(Context& ctx) {
@@ -49,7 +54,6 @@
 void Receiving<Choice, Rules>::HandleRequest(Context& ctx,
                                              const CallerRequested& requested) {
   counters_.Add(ReceivingCounter::kCalls);
-  retry_budget_.NoteCall();
   const uint64_t call = requested.call;
   const auto plan = ExamineCall(ctx, requested.request);
   if (!plan) {
@@ -63,6 +67,7 @@
   if (!plan->route.split.empty()) {
     active.route.service = split_picker_.Pick(plan->route);
   }
+  retry_budgets_.Of(active.route.service).NoteCall();
   active.request = requested.request;
   SetCaller(ctx, active.request.headers);
   active.idempotency_key = plan->idempotency_key;
@@ -70,7 +75,7 @@
   active.arrived = ctx.Now();
   active.deadline = ctx.Now() + plan->time;
   ctx.Shared().active_calls = static_cast<uint32_t>(active_.size());
-  ctx.SetTimerIn(plan->time, TimerKind::kCallDeadline, call);
+  ctx.SetTimerIn(plan->time + kAnswerGrace, TimerKind::kCallDeadline, call);
   Attempt(ctx, active);
 }
 
@@ -85,11 +90,6 @@
   headers.push_back({std::string(header::kCallerService), caller});
 }
 
-template <BackendChoice Choice, RequestRules Rules>
-uint32_t Receiving<Choice, Rules>::RankOfCall(const Active& active) {
-  return RankOf(active.route.priority, active.route.request_class);
-}
-
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::HandlePeerMessage(
     Context& ctx, const PeerMessageReceived& received) {
@@ -157,6 +157,7 @@
     active->parts = answer.sequence;
   }
   loads_.NoteLoad(from, answer.load, ctx.Now());
+  if (RetryFailedAnswer(ctx, *active, from, answer.part)) return;
   AnswerPart part = answer.part;
   if (part.IsHead()) {
     part.headers.push_back(
@@ -167,7 +168,7 @@
   ctx.Emit(AnswerCaller{active->call, std::move(part), ctx.Shared().draining});
   if (end == AnswerEnd::kMore) return;
   ReleasePeer(*active);
-  loads_.NoteTime(from, RankOfCall(*active),
+  loads_.NoteTime(from, active->route.name,
                   ctx.Now() - active->sent_at, ctx.Now());
   CountOutcome(Outcome::kRan);
   // A cut answer is of no use to its caller.
@@ -176,6 +177,38 @@
   Finish(ctx, active->call);
 }
 
+template <BackendChoice Choice, RequestRules Rules>
+bool Receiving<Choice, Rules>::RetryFailedAnswer(Context& ctx, Active& active,
+                                                 Address from,
+                                                 const AnswerPart& part) {
+  constexpr uint16_t kFirstServerError = 500;
+  if (!part.IsHead()) return false;
+  const bool failed = part.status >= kFirstServerError;
+  loads_.NoteOutcome(from, failed, ctx.Now());
+  const bool may_retry = failed && part.end == AnswerEnd::kComplete &&
+                         active.route.repeatable && !active.head_sent &&
+                         ctx.Settings().choice == ChoicePolicy::kNearest;
+  if (!may_retry || !MayRetry(ctx, active, true)) return false;
+  ReleasePeer(active);
+  counters_.Add(ReceivingCounter::kRetries);
+  active.may_have_run = true;
+  Attempt(ctx, active);
+  return true;
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+Duration Receiving<Choice, Rules>::RetryAfterFor(Context& ctx,
+                                                 const Active& active,
+                                                 Errc reason) {
+  constexpr uint32_t kSteps = 1'000;
+  const Duration target =
+      std::chrono::milliseconds(active.route.target_latency_ms);
+  const Refusal refusal{reason, active.least_wait, target / 2,
+                        active.deadline - ctx.Now()};
+  return RetryAfter(refusal,
+                    static_cast<double>(ctx.RandomBelow(kSteps)) / kSteps);
+}
+
 /// A part of the answer was lost on the way.
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::HandleMissingPart(Context& ctx, Active& active,
@@ -233,7 +266,7 @@
   Active& active = it->second;
   ReleasePeer(active);
   if (active.route.repeatable) ctx.Send(active.admitting, CancelCall{call});
-  loads_.NoteGivenUp(active.admitting, RankOfCall(active),
+  loads_.NoteGivenUp(active.admitting, active.route.name,
                      ctx.Now() - active.sent_at, ctx.Now());
   if (active.head_sent) {
     BreakAnswer(ctx, call);
@@ -251,7 +284,12 @@
   if (Rules::kRememberAttempts && may_have_run) outcome = Outcome::kUnknown;
   CountOutcome(outcome);
   RaiseEnded(ctx, call, outcome);
-  ctx.Emit(AnswerCaller{call, MakeFailureAnswer(reason, outcome),
+  const bool may_return =
+      it != active_.end() && outcome == Outcome::kNotRun &&
+      ctx.Settings().choice == ChoicePolicy::kNearest;
+  const Duration retry_after =
+      may_return ? RetryAfterFor(ctx, it->second, reason) : Duration::zero();
+  ctx.Emit(AnswerCaller{call, MakeFailureAnswer(reason, outcome, retry_after),
                         ctx.Shared().draining});
 }
 
--- a/Source/Wire/member.h
+++ b/Source/Wire/member.h
@@ -41,7 +41,7 @@
   uint32_t slots = 0;
   std::map<std::string, std::string> labels;
   /// Names one start of the backend server; empty if it names none.
-  std::string id;
+  std::string id = {};
   /// When it started, milliseconds since the epoch; 0 if it does not tell.
   uint64_t started_ms = 0;
 
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -121,8 +121,14 @@
   uint32_t priority = 0;
   /// Longest wait for a slot, milliseconds; a longer one is refused.
   uint32_t max_wait_ms = ~0U;
+  /// Route of the call, for its order among others.
+  std::string route;
+  /// Time left to the answer's target, milliseconds; a wait that would miss it
+  /// is refused. All ones for none.
+  uint32_t target_ms = ~0U;
   MSGPACK_DEFINE(id, service, request_class, repeatable, idempotency_key,
-                 remaining_ms, fingerprint, request, priority, max_wait_ms)
+                 remaining_ms, fingerprint, request, priority, max_wait_ms,
+                 route, target_ms)
 };
 
 /// The call was not run and will not be.
@@ -133,7 +139,9 @@
   uint32_t load = 0;
   /// The backend server itself has refused the request.
   bool reached_backend = false;
-  MSGPACK_DEFINE(id, reason, load, reached_backend)
+  /// Expected wait for a slot, milliseconds.
+  uint32_t wait_ms = 0;
+  MSGPACK_DEFINE(id, reason, load, reached_backend, wait_ms)
 };
 
 /// A piece of the answer; `load` is the share of slots in use, per mille.
--- a/Utilities/BackendServerStandin/backend_server_standin.cc
+++ b/Utilities/BackendServerStandin/backend_server_standin.cc
@@ -17,7 +17,7 @@
 
 HttpServerLimits Limits() {
   HttpServerLimits limits;
-  limits.body_bytes = kBodyLimit;
+  limits.message.body_bytes = kBodyLimit;
   return limits;
 }
 
@@ -84,9 +84,6 @@
   std::erase_if(waiting_, [id](const Job& job) { return job.id == id; });
 }
 
-AnswerPart BackendServerStandin::BodyTooLarge() { return EmptyAnswer(413); }
-AnswerPart BackendServerStandin::LengthRequired() { return EmptyAnswer(411); }
-
 void BackendServerStandin::HandleControl(uint64_t id, const std::string& path) {
   const Url url = ParseUrl(path);
   const auto state = ParseEnum<BackendState>(url.Get("state"));
--- a/Utilities/BackendServerStandin/backend_server_standin.h
+++ b/Utilities/BackendServerStandin/backend_server_standin.h
@@ -49,8 +49,6 @@
 
   void OnRequest(uint64_t id, HttpRequest request) override;
   void OnLeft(uint64_t id) override;
-  AnswerPart BodyTooLarge() override;
-  AnswerPart LengthRequired() override;
 
   void Announce();
   void HandleControl(uint64_t id, const std::string& path);
--- a/Utilities/PlatformStandin/platform_standin.cc
+++ b/Utilities/PlatformStandin/platform_standin.cc
@@ -13,7 +13,7 @@
 
 HttpServerLimits Limits() {
   HttpServerLimits limits;
-  limits.body_bytes = kBodyLimit;
+  limits.message.body_bytes = kBodyLimit;
   return limits;
 }
 
@@ -49,20 +49,6 @@
 
 void PlatformStandin::OnLeft(uint64_t /*id*/) {}
 
-AnswerPart PlatformStandin::BodyTooLarge() {
-  AnswerPart part;
-  part.status = 413;
-  part.end = AnswerEnd::kComplete;
-  return part;
-}
-
-AnswerPart PlatformStandin::LengthRequired() {
-  AnswerPart part;
-  part.status = 411;
-  part.end = AnswerEnd::kComplete;
-  return part;
-}
-
 void PlatformStandin::HandleControl(uint64_t id, const HttpRequest& request) {
   const Url url = ParseUrl(request.path);
   const auto mode = ParseEnum<StandinMode>(url.Get("mode"));
--- a/Utilities/PlatformStandin/platform_standin.h
+++ b/Utilities/PlatformStandin/platform_standin.h
@@ -42,8 +42,6 @@
  private:
   void OnRequest(uint64_t id, HttpRequest request) override;
   void OnLeft(uint64_t id) override;
-  AnswerPart BodyTooLarge() override;
-  AnswerPart LengthRequired() override;
 
   void HandleControl(uint64_t id, const HttpRequest& request);
   void HandlePlatform(uint64_t id, const HttpRequest& request);
