--- a/Source/Daemon/daemon_process.cc
+++ b/Source/Daemon/daemon_process.cc
@@ -8,6 +8,11 @@
 #include "Kernel/trace.h"
 
 namespace buckthorncart {
+namespace {
+
+constexpr Duration kLogFlushInterval = 100ms;
+
+}  // namespace
 
 DaemonProcess::DaemonProcess(std::string program,
                              const DaemonSettings& settings,
@@ -48,11 +53,17 @@
                {"callers", settings_.driver.callers.ToString()},
                {"operators", settings_.driver.operators.ToString()}},
               LogLevel::kInfo});
+  FlushLog();
   driver_.Start();
   loop_.Run();
   return 0;
 }
 
+void DaemonProcess::FlushLog() {
+  LogSink::Flush();
+  loop_.RunIn(kLogFlushInterval, [this] { FlushLog(); });
+}
+
 int DaemonProcess::Report(const Failure& failure) {
   loop_.Close();
   std::cerr << program_ << ": " << failure.Describe() << '\n';
--- a/Source/Daemon/daemon_process.h
+++ b/Source/Daemon/daemon_process.h
@@ -38,6 +38,8 @@
   /// on and is not ready until it holds a configuration.
   void WarnIfUnreachable(PlatformStatus status) const;
 
+  void FlushLog();
+
   std::string program_;
   DaemonSettings settings_;
   Loop loop_;
--- a/Source/Kernel/metric_help.cc
+++ b/Source/Kernel/metric_help.cc
@@ -36,6 +36,8 @@
      "Watches whose history the platform had dropped, calls."},
     {"followed_peer_pulls_total",
      "Configurations asked of a peer, requests."},
+    {"log_lines_dropped_total",
+     "Log lines that standard output did not take, lines."},
     {"admission_runs_total", "Calls begun on the backend server, calls."},
     {"admission_refused_total", "Calls refused by this daemon, calls."},
     {"admission_queued_total", "Calls that waited for a slot, calls."},
--- a/Source/Net/descriptor_watcher.cc
+++ b/Source/Net/descriptor_watcher.cc
@@ -1,6 +1,6 @@
 #include "Net/descriptor_watcher.h"
 
-#include <unistd.h>
+#include <utility>
 
 namespace buckthorncart {
 
@@ -28,7 +28,22 @@
 }
 
 void DescriptorWatcher::RequestWritable(WatchedDescriptor& owner) {
-  if (owner.wsi_ != nullptr) lws_callback_on_writable(owner.wsi_);
+  if (owner.wsi_ == nullptr) return;
+  if (writing_ != &owner) {
+    lws_callback_on_writable(owner.wsi_);
+    return;
+  }
+  // The library forgets requests that are made from inside its callback.
+  if (again_.empty()) {
+    loop_.RunIn(Duration::zero(), [this] { RequestAgain(); });
+  }
+  again_.insert(&owner);
+}
+
+void DescriptorWatcher::RequestAgain() {
+  for (WatchedDescriptor* owner : std::exchange(again_, {})) {
+    RequestWritable(*owner);
+  }
 }
 
 void DescriptorWatcher::SetReading(WatchedDescriptor& owner, bool reading) {
@@ -50,12 +65,19 @@
                                 void* /*user*/, void* /*in*/, size_t /*len*/) {
   auto* owner = static_cast<WatchedDescriptor*>(lws_get_opaque_user_data(wsi));
   if (owner == nullptr) return 0;
+  auto& watcher =
+      *static_cast<DescriptorWatcher*>(lws_get_protocol(wsi)->user);
   switch (reason) {
     case LWS_CALLBACK_RAW_RX_FILE:
       return owner->OnReadable() ? 0 : -1;
-    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
-      return owner->OnWritable() ? 0 : -1;
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE: {
+      watcher.writing_ = owner;
+      const bool open = owner->OnWritable();
+      watcher.writing_ = nullptr;
+      return open ? 0 : -1;
+    }
     case LWS_CALLBACK_RAW_CLOSE_FILE:
+      watcher.again_.erase(owner);
       lws_set_opaque_user_data(wsi, nullptr);
       owner->wsi_ = nullptr;
       owner->OnClosed();
--- a/Source/Net/descriptor_watcher.h
+++ b/Source/Net/descriptor_watcher.h
@@ -4,6 +4,7 @@
 
 #include <libwebsockets.h>
 
+#include <set>
 #include <string>
 
 #include "Base/result.h"
@@ -38,10 +39,15 @@
  private:
   static int Callback(lws* wsi, lws_callback_reasons reason, void* user,
                       void* in, size_t len);
+  void RequestAgain();
 
   Loop& loop_;
   lws_protocols protocols_[2];
   lws_vhost* vhost_ = nullptr;
+  /// The descriptor whose `OnWritable` runs.
+  WatchedDescriptor* writing_ = nullptr;
+  /// Descriptors that asked for more from inside `OnWritable`.
+  std::set<WatchedDescriptor*> again_;
 };
 
 }  // namespace buckthorncart
--- a/Source/Net/log_sink.cc
+++ b/Source/Net/log_sink.cc
@@ -1,10 +1,11 @@
 #include "Net/log_sink.h"
 
 #include <easylogging++.h>
+#include <unistd.h>
 
-#include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "Net/line_buffer.h"
 #include "Net/loop.h"
 
 // NOLINTNEXTLINE
@@ -13,11 +14,17 @@
 namespace buckthorncart {
 namespace {
 
-/// Sends the lines of the logging library to standard output.
+/// Lines of this process on their way to standard output.
+LineBuffer& Output() {
+  static LineBuffer buffer(STDOUT_FILENO);
+  return buffer;
+}
+
+/// Sends the lines of the logging library to the buffer of the process.
 class StandardOutputDispatch : public el::LogDispatchCallback {
  protected:
   void handle(const el::LogDispatchData* data) noexcept override {  // NOLINT
-    std::cout << data->logMessage()->message() << '\n';
+    Output().Add(data->logMessage()->message());
   }
 };
 
@@ -42,6 +49,12 @@
       "StandardOutputDispatch");
 }
 
+LogSink::~LogSink() { Flush(); }
+
+void LogSink::Flush() { Output().Flush(); }
+
+uint64_t LogSink::DroppedLines() { return Output().Dropped(); }
+
 void LogSink::Write(const LogChange& change) const {
   if (change.level < lowest_) return;
   const std::string line = FormatLine(change);
--- a/Source/Net/log_sink.h
+++ b/Source/Net/log_sink.h
@@ -1,7 +1,8 @@
 #pragma once
 /// \file
-/// Writes changes of state to standard error.
+/// Writes changes of state to standard output.
 
+#include <cstdint>
 #include <string>
 
 #include "Base/enum_names.h"
@@ -26,7 +27,15 @@
 class LogSink {
  public:
   LogSink(LogFormat format, LogLevel lowest);
+  ~LogSink();
+  LogSink(const LogSink&) = delete;
+  LogSink& operator=(const LogSink&) = delete;
+  /// Adds a line to those that the next `Flush` writes.
   void Write(const LogChange& change) const;
+  /// Writes what standard output takes without blocking; what it does not take
+  /// in time is dropped and counted.
+  static void Flush();
+  static uint64_t DroppedLines();
 
  private:
   std::string FormatLine(const LogChange& change) const;
--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -113,6 +113,7 @@
                      [this] { return datagrams_.ReceivedBytes(); });
   metrics.AddCounter("backend_connections_total",
                      [this] { return backend_.ConnectionsOpened(); });
+  metrics.AddCounter("log_lines_dropped_total", LogSink::DroppedLines);
   metrics.AddCounter("bad_frames_total", [this] { return bad_frames_; });
 }
 
--- a/Source/Plugins/admission_runs_inl.h
+++ b/Source/Plugins/admission_runs_inl.h
@@ -101,8 +101,11 @@
   const auto it = run_of_call_.find({from, id});
   if (it == run_of_call_.end()) return;
   const uint64_t number = it->second;
-  counters_.Add(AdmissionCounter::kCancelled);
   const Run& run = runs_.at(number);
+  // An unrepeatable request that has begun runs to its end, so that its outcome
+  // becomes known.
+  if (!run.call.repeatable && (run.started || run.awaiting_claim)) return;
+  counters_.Add(AdmissionCounter::kCancelled);
   if (run.started) {
     ctx.Emit(CancelBackend{number});
     TimeOf(run.call).NoteAtLeast(ctx.Now() - run.started_at, ctx.Now());
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -250,9 +250,7 @@
   if (it == active_.end()) return;
   counters_.Add(ReceivingCounter::kCallersLeft);
   ReleasePeer(it->second);
-  // An unrepeatable request that has been sent runs to its end, so that its
-  // outcome can be recorded.
-  if (it->second.route.repeatable) {
+  if (it->second.admitting.IsSet()) {
     ctx.Send(it->second.admitting, CancelCall{call});
   }
   RaiseEnded(ctx, call, Outcome::kUnknown, true);
