Let callers leave answers unread for longer than the probes of peers allow

Cause: the time-out of unacknowledged bytes also ends connections whose peer acknowledges and does not read, so that a caller that read slowly lost its answer after 2.5 s (test 'drain: a caller that reads slowly gets its whole answer'). It stays between daemons and towards backend servers and the platform, which read at once.

--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -11,7 +11,7 @@
     : loop_(loop),
       handler_(std::move(handler)),
       settings_(std::move(settings)),
-      host_(loop) {}
+      host_(loop, SilenceCheck::kAlways) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -32,7 +32,7 @@
     : loop_(loop),
       limits_(limits),
       handler_(handler),
-      host_(loop),
+      host_(loop, SilenceCheck::kIdle),
       next_id_(last_id) {}
 
 HttpServer::~HttpServer() = default;
--- a/Source/Net/peer_transport.cc
+++ b/Source/Net/peer_transport.cc
@@ -115,7 +115,7 @@
       self_(self),
       incarnation_(incarnation),
       handler_(handler),
-      host_(loop) {}
+      host_(loop, SilenceCheck::kAlways) {}
 
 PeerTransport::~PeerTransport() = default;
 
--- a/Source/Net/tcp_host.cc
+++ b/Source/Net/tcp_host.cc
@@ -36,12 +36,13 @@
   setsockopt(fd, level, option, &value, sizeof(value));
 }
 
-void SetConnectionOptions(int fd) {
+void SetConnectionOptions(int fd, SilenceCheck check) {
   SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepaliveIdleSeconds);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepaliveIntervalSeconds);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepaliveProbes);
+  if (check == SilenceCheck::kIdle) return;
   SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
 }
 
@@ -71,7 +72,8 @@
   bool closed_ = false;
 };
 
-TcpHost::TcpHost(Loop& loop) : loop_(loop), watcher_(loop) {}
+TcpHost::TcpHost(Loop& loop, SilenceCheck check)
+    : loop_(loop), check_(check), watcher_(loop) {}
 
 TcpHost::~TcpHost() = default;
 
@@ -113,7 +115,7 @@
     const int connection =
         accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (connection < 0) return;
-    SetConnectionOptions(connection);
+    SetConnectionOptions(connection, check_);
     auto owned = std::make_unique<Stream>(
         watcher_, connection, true,
         [this](Stream& gone) { streams_.erase(&gone); });
@@ -133,7 +135,7 @@
   stream.SetHandler(&handler);
   bool started = fd >= 0;
   if (started) {
-    SetConnectionOptions(fd);
+    SetConnectionOptions(fd, check_);
     const sockaddr_in name = ToSocketAddress(to);
     const int rc =
         connect(fd, reinterpret_cast<const sockaddr*>(&name), sizeof(name));
--- a/Source/Net/tcp_host.h
+++ b/Source/Net/tcp_host.h
@@ -2,6 +2,7 @@
 /// \file
 /// Listens for TCP connections and opens them.
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,12 +17,20 @@
 
 namespace buckthorncart {
 
+/// How a connection that has gone silent is found.
+enum class SilenceCheck : uint8_t {
+  /// By probes while it is idle; a peer may leave bytes unread for long.
+  kIdle,
+  /// Also by the time that sent bytes stay unacknowledged or unread.
+  kAlways,
+};
+
 class TcpHost {
  public:
   /// Sets the handler of a connection that has been accepted.
   using AcceptHandler = std::function<void(Stream&)>;
 
-  explicit TcpHost(Loop& loop);
+  TcpHost(Loop& loop, SilenceCheck check);
   ~TcpHost();
   TcpHost(const TcpHost&) = delete;
   TcpHost& operator=(const TcpHost&) = delete;
@@ -43,6 +52,7 @@
   void AcceptAll(int fd, const AcceptHandler& on_accept);
 
   Loop& loop_;
+  SilenceCheck check_;
   DescriptorWatcher watcher_;
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::unordered_map<Stream*, std::unique_ptr<Stream>> streams_;
