Log decisions about requests, with histograms and a bounded rate

One line a call that failed, with every attempt, and a line at the daemon that refused or ran it; a rate for each kind with a count of what was left out, successes last.

--- a/Source/Kernel/context.cc
+++ b/Source/Kernel/context.cc
@@ -32,6 +32,11 @@
 void Context::Log(LogTopic topic,
                   std::vector<std::pair<std::string, std::string>> fields,
                   LogLevel level) {
+  const auto left_out = log_limiter_.Pass(topic, now_);
+  if (!left_out) return;
+  if (*left_out > 0) {
+    fields.emplace_back("left_out", std::to_string(*left_out));
+  }
   Emit(LogChange{topic, std::move(fields), level});
 }
 
--- a/Source/Kernel/context.h
+++ b/Source/Kernel/context.h
@@ -13,6 +13,7 @@
 #include "Kernel/effect.h"
 #include "Kernel/event.h"
 #include "Kernel/kernel_settings.h"
+#include "Kernel/log_limiter.h"
 #include "Kernel/metrics.h"
 
 namespace buckthorncart {
@@ -43,6 +44,7 @@
   void Send(Address to, PeerMessage message);
   void SendUdp(Address to, Datagram message);
   void SetTimerIn(Duration delay, TimerKind kind, uint64_t argument = 0);
+  /// Leaves lines out beyond a rate for each topic.
   void Log(LogTopic topic,
            std::vector<std::pair<std::string, std::string>> fields,
            LogLevel level = LogLevel::kInfo);
@@ -69,6 +71,7 @@
   Time started_{};
   Directory directory_;
   Metrics metrics_;
+  LogLimiter log_limiter_;
   std::vector<Effect> effects_;
   std::deque<Event> raised_;
   std::map<uint64_t, RemoteRequest> remote_requests_;
--- a/Source/Kernel/effect.h
+++ b/Source/Kernel/effect.h
@@ -99,6 +99,14 @@
   kPeerFault,
   kEjected,
   kReloaded,
+  /// A caller got an answer of a backend server.
+  kCallServed,
+  /// A caller got anything else.
+  kCallFailed,
+  /// A daemon has refused a call to its backend server.
+  kCallRefused,
+  /// A run ended without a good answer.
+  kRunFailed,
 };
 
 template <>
@@ -107,7 +115,8 @@
       "started",       "floor-known",   "version-held",   "version-held-back",
       "member-status", "backend-state", "platform-state", "operation",
       "frozen",        "draining",      "drained",        "crash-guard",
-      "peer-fault",    "ejected",       "reloaded"};
+      "peer-fault",    "ejected",       "reloaded",       "call-served",
+      "call-failed",   "call-refused",  "run-failed"};
 };
 
 enum class LogLevel : uint8_t { kInfo, kWarning };
--- a/Source/Kernel/metrics.h
+++ b/Source/Kernel/metrics.h
@@ -11,6 +11,9 @@
 
 namespace buckthorncart {
 
+class LabelledCounter;
+class LatencyHistogram;
+
 /// A family of counters that only grow.
 class CounterSource {
  public:
@@ -33,6 +36,14 @@
   void AddCounter(std::string name, std::function<uint64_t()> read) {
     counters_.emplace_back(std::move(name), std::move(read));
   }
+  /// `name` is that of a duration in seconds.
+  void AddHistogram(std::string name, const LatencyHistogram* histogram) {
+    histograms_.emplace_back(std::move(name), histogram);
+  }
+  /// `name` ends in `_total`.
+  void AddLabelled(std::string name, const LabelledCounter* counter) {
+    labelled_.emplace_back(std::move(name), counter);
+  }
   std::string PrometheusText() const;
   /// Value of the counter called `name`, 0 when there is none.
   uint64_t CounterByName(std::string_view name) const;
@@ -41,6 +52,8 @@
   std::vector<const CounterSource*> sources_;
   std::vector<std::pair<std::string, std::function<uint64_t()>>> counters_;
   std::vector<std::pair<std::string, std::function<double()>>> gauges_;
+  std::vector<std::pair<std::string, const LatencyHistogram*>> histograms_;
+  std::vector<std::pair<std::string, const LabelledCounter*>> labelled_;
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/admission.h
+++ b/Source/Plugins/admission.h
@@ -13,6 +13,7 @@
 #include "Base/time.h"
 #include "Kernel/claim_events.h"
 #include "Kernel/counters.h"
+#include "Kernel/latency_histogram.h"
 #include "Kernel/plugin.h"
 #include "Plugins/backend_life.h"
 #include "Plugins/connect_gate.h"
@@ -67,6 +68,7 @@
     bool started = false;
     bool head_sent = false;
     Time started_at{};
+    Time queued_at{};
     /// Parts of the answer sent so far.
     uint32_t parts = 0;
     /// Unrepeatable, and its claim has not been decided.
@@ -105,6 +107,10 @@
   void Refuse(Context& ctx, const CallKey& key, Errc reason,
               bool reached_backend = false, Duration wait = {});
   void NoteBackendLost(Context& ctx);
+  void LogRefusal(Context& ctx, Address from, const Call& call, Errc reason,
+                  Duration wait);
+  void LogFailedRun(Context& ctx, const Run& run, std::string_view fault,
+                    uint16_t status);
   static double WeightOfCall(const Call& call);
   uint32_t Slots(Context& ctx) const;
   uint32_t LoadPerMille(Context& ctx) const;
@@ -123,6 +129,8 @@
   ShedLimit shed_limit_;
   uint32_t slots_in_use_ = 0;
   uint64_t next_run_ = 0;
+  LatencyHistogram waits_;
+  LatencyHistogram run_times_;
   Counters<AdmissionCounter> counters_;
 };
 
--- a/Source/Plugins/admission_inl.h
+++ b/Source/Plugins/admission_inl.h
@@ -20,6 +20,12 @@
 void Admission<Rules>::Attach(Context& ctx) {
   ctx.Shared().run_of_call = &run_of_call_;
   ctx.AllMetrics().Add(&counters_);
+  ctx.AllMetrics().AddHistogram("queue_wait_seconds", &waits_);
+  ctx.AllMetrics().AddHistogram("run_seconds", &run_times_);
+  ctx.AllMetrics().AddGauge("backend_announcement_age_seconds", [this, &ctx] {
+    return static_cast<double>(ToMilliseconds(ctx.Now() - last_announcement_)) /
+           kPerMille;
+  });
   ctx.AllMetrics().AddGauge("admission_slots_in_use", [this] {
     return static_cast<double>(slots_in_use_);
   });
@@ -154,7 +160,9 @@
   if (run_of_call_.contains(key)) return;
   const Errc reason = ReasonToRefuse(ctx, call);
   if (reason != Errc::kOk) {
-    Refuse(ctx, key, reason, false, WaitOf(ctx, call));
+    const Duration wait = WaitOf(ctx, call);
+    LogRefusal(ctx, from, call, reason, wait);
+    Refuse(ctx, key, reason, false, wait);
     return;
   }
   const uint64_t number = ++next_run_;
@@ -163,6 +171,7 @@
   run.key = key;
   run.call = call;
   run.deadline = ctx.Now() + remaining;
+  run.queued_at = ctx.Now();
   run.awaiting_claim = !call.repeatable && !call.idempotency_key.empty();
   run_of_call_[key] = number;
   ctx.Shared().active_runs = static_cast<uint32_t>(runs_.size());
@@ -231,6 +240,45 @@
   }
 }
 
+template <RequestRules Rules>
+void Admission<Rules>::LogRefusal(Context& ctx, Address from, const Call& call,
+                                  Errc reason, Duration wait) {
+  const Duration age = ctx.Now() - last_announcement_;
+  ctx.Log(LogTopic::kCallRefused,
+          {{"id",
+            std::string(FindHeader(call.request.headers, header::kRequestId))},
+           {"route", call.route},
+           {"from", from.ToString()},
+           {"reason", std::string(NameOf(reason))},
+           {"wait_ms", std::to_string(ToMilliseconds(wait))},
+           {"max_wait_ms", std::to_string(call.max_wait_ms)},
+           {"target_ms", std::to_string(call.target_ms)},
+           {"left_ms", std::to_string(call.remaining_ms)},
+           {"slots",
+            std::to_string(slots_in_use_) + "/" + std::to_string(Slots(ctx))},
+           {"queue", std::to_string(queue_.Size())},
+           {"backend", std::string(NameOf(backend_.state))},
+           {"backend_age_ms", std::to_string(ToMilliseconds(age))}});
+}
+
+template <RequestRules Rules>
+void Admission<Rules>::LogFailedRun(Context& ctx, const Run& run,
+                                    std::string_view fault, uint16_t status) {
+  ctx.Log(
+      LogTopic::kRunFailed,
+      {{"id",
+        std::string(FindHeader(run.call.request.headers, header::kRequestId))},
+       {"route", run.call.route},
+       {"from", run.key.first.ToString()},
+       {"fault", std::string(fault)},
+       {"status", std::to_string(status)},
+       {"waited_ms",
+        std::to_string(ToMilliseconds(run.started_at - run.queued_at))},
+       {"ran_ms", std::to_string(ToMilliseconds(ctx.Now() - run.started_at))},
+       {"backend_id", backend_.id},
+       {"backend", std::string(NameOf(backend_.state))}});
+}
+
 template <RequestRules Rules>
 double Admission<Rules>::WeightOfCall(const Call& call) {
   return WeightOf(call.priority, call.request_class);
@@ -287,6 +335,7 @@
   Run& run = runs_.at(number);
   run.started = true;
   run.started_at = ctx.Now();
+  waits_.Note(ctx.Now() - run.queued_at);
   ++slots_in_use_;
   queue_.NoteStart(run.call.route, ctx.Now());
   counters_.Add(AdmissionCounter::kRuns);
--- a/Source/Plugins/admission_runs_inl.h
+++ b/Source/Plugins/admission_runs_inl.h
@@ -21,6 +21,7 @@
   Run& run = it->second;
   const auto [peer, id] = run.key;
   if (answered.fault == BackendFault::kNotConnected) {
+    LogFailedRun(ctx, run, "not-connected", 0);
     EndRun(ctx, answered.run);
     Refuse(ctx, {peer, id}, Errc::kBackendServerFailed);
     gate_.NoteFailure(ctx.Now());
@@ -35,6 +36,7 @@
   const bool broken = answered.fault == BackendFault::kConnectionBroken;
   if (broken && !run.head_sent) {
     counters_.Add(AdmissionCounter::kBroken);
+    LogFailedRun(ctx, run, "connection-broken", 0);
     const bool suspect = NoteBroken(ctx, run.call.fingerprint);
     ctx.Send(peer, CallFailed{id, suspect ? Errc::kCrashGuard
                                           : Errc::kBackendServerFailed});
@@ -52,6 +54,11 @@
     const Duration time = ctx.Now() - run.started_at;
     TimeOf(run.call).Note(time, ctx.Now());
     queue_.NoteTime(run.call.route, time);
+    run_times_.Note(time);
+    constexpr uint16_t kFirstServerError = 500;
+    if (answered.part.status >= kFirstServerError) {
+      LogFailedRun(ctx, run, "status", answered.part.status);
+    }
   }
   EndRun(ctx, answered.run);
   StartQueued(ctx);
@@ -67,6 +74,7 @@
 template <RequestRules Rules>
 void Admission<Rules>::HandleShed(Context& ctx, uint64_t number) {
   counters_.Add(AdmissionCounter::kShed);
+  LogFailedRun(ctx, runs_.at(number), "shed", 0);
   const CallKey key = runs_.at(number).key;
   EndRun(ctx, number);
   // One that tells its starts also tells its slots: it sheds for reasons that
@@ -147,6 +155,7 @@
   Run& run = runs_.at(number);
   if (!Rules::kCancelExpired || !run.call.repeatable) return;
   counters_.Add(AdmissionCounter::kCancelled);
+  LogFailedRun(ctx, run, "deadline", 0);
   ctx.Emit(CancelBackend{number});
   TimeOf(run.call).NoteAtLeast(ctx.Now() - run.started_at, ctx.Now());
   if (run.head_sent) {
--- a/Source/Plugins/bounded_platform_queue.cc
+++ b/Source/Plugins/bounded_platform_queue.cc
@@ -27,6 +27,7 @@
 void BoundedPlatformQueue::Attach(Context& ctx) {
   ctx.Shared().platform = this;
   ctx.AllMetrics().Add(&counters_);
+  ctx.AllMetrics().AddHistogram("platform_call_seconds", &times_);
   ctx.AllMetrics().AddGauge("platform_queue_length", [this] {
     return static_cast<double>(WaitingCount());
   });
@@ -81,7 +82,10 @@
 void BoundedPlatformQueue::HandleReply(Context& ctx,
                                        const PlatformReplied& replied) {
   // A reply after the timeout frees no slot: the timeout has done so.
-  if (in_flight_.erase(replied.tag) == 0) return;
+  const auto sent = in_flight_.find(replied.tag);
+  if (sent == in_flight_.end()) return;
+  times_.Note(ctx.Now() - sent->second);
+  in_flight_.erase(sent);
   switch (replied.reply.status) {
     case PlatformStatus::kOk:
     case PlatformStatus::kConditionFailed:
@@ -110,7 +114,8 @@
       if (it->tag != tag) continue;
       queue.erase(it);
       counters_.Add(PlatformCounter::kUnavailable);
-      ctx.Raise(PlatformReplied{tag, {PlatformStatus::kUnavailable, {}, {}, 0}});
+      ctx.Raise(
+          PlatformReplied{tag, {PlatformStatus::kUnavailable, {}, {}, 0}});
       return;
     }
   }
--- a/Source/Plugins/bounded_platform_queue.h
+++ b/Source/Plugins/bounded_platform_queue.h
@@ -11,6 +11,7 @@
 
 #include "Base/time.h"
 #include "Kernel/counters.h"
+#include "Kernel/latency_histogram.h"
 #include "Kernel/platform_queue.h"
 #include "Kernel/plugin.h"
 
@@ -59,6 +60,7 @@
   std::map<uint64_t, Time> in_flight_;
   uint64_t next_tag_ = 0;
   bool available_ = true;
+  LatencyHistogram times_;
   Counters<PlatformCounter> counters_;
 };
 
--- a/Source/Plugins/configuration_follower.cc
+++ b/Source/Plugins/configuration_follower.cc
@@ -47,6 +47,11 @@
   ctx.AllMetrics().AddGauge("configuration_version", [this] {
     return static_cast<double>(store_.Held()->version);
   });
+  ctx.AllMetrics().AddGauge("configuration_age_seconds", [this, &ctx] {
+    constexpr double kMicroseconds = 1e6;
+    return static_cast<double>((ctx.Now() - confirmed_at_).count()) /
+           kMicroseconds;
+  });
 }
 
 void ConfigurationFollower::Handle(Context& ctx, const Event& event) {
@@ -93,6 +98,7 @@
   switch (replied.reply.status) {
     case PlatformStatus::kOk:
       failures_ = 0;
+      confirmed_at_ = ctx.Now();
       TakeRow(ctx, replied.reply);
       store_version_ = std::max(store_version_, replied.reply.version);
       Watch(ctx);
--- a/Source/Plugins/configuration_follower.h
+++ b/Source/Plugins/configuration_follower.h
@@ -32,9 +32,9 @@
 template <>
 struct EnumNames<FollowerCounter> {
   static constexpr std::string_view kNames[] = {
-      "followed_versions_taken_total",     "followed_versions_held_back_total",
-      "followed_reads_total",              "followed_watches_total",
-      "followed_histories_lost_total",     "followed_peer_pulls_total"};
+      "followed_versions_taken_total", "followed_versions_held_back_total",
+      "followed_reads_total",          "followed_watches_total",
+      "followed_histories_lost_total", "followed_peer_pulls_total"};
 };
 
 /// Row that holds the newest configuration, an encoded `Snapshot`.
@@ -71,6 +71,8 @@
   std::optional<uint64_t> tag_;
   /// Version of the store that the last reply was from; 0 before the first.
   uint64_t store_version_ = 0;
+  /// When the platform last answered about the configuration.
+  Time confirmed_at_{};
   uint32_t failures_ = 0;
   /// Guards against timers of earlier attempts.
   uint64_t attempt_ = 0;
--- a/Source/Plugins/receiving.h
+++ b/Source/Plugins/receiving.h
@@ -14,6 +14,8 @@
 #include "Base/time.h"
 #include "Config/snapshot.h"
 #include "Kernel/counters.h"
+#include "Kernel/labelled_counter.h"
+#include "Kernel/latency_histogram.h"
 #include "Kernel/plugin.h"
 #include "Plugins/backend_choice.h"
 #include "Plugins/peer_loads.h"
@@ -89,6 +91,8 @@
     bool may_wait = false;
     /// Shortest wait that a daemon has refused it for.
     Duration least_wait{};
+    /// What became of each attempt, for the log.
+    std::string trail;
   };
 
   void HandleRequest(Context& ctx, const CallerRequested& requested);
@@ -140,6 +144,12 @@
   void BreakAnswer(Context& ctx, uint64_t call);
   void AnswerFailure(Context& ctx, uint64_t call, Errc reason, Outcome outcome);
   void CountOutcome(Outcome outcome);
+  /// Adds the end of an attempt at `daemon` to the trail.
+  static void NoteTrail(Context& ctx, Active& active, Address daemon,
+                        std::string_view end);
+  /// Logs and counts the end of a call.
+  void NoteResult(Context& ctx, const Active& active, Outcome outcome,
+                  std::string_view reason, uint16_t status);
   /// Tells other plug-ins that a routed call has ended.
   void RaiseEnded(Context& ctx, uint64_t call, Outcome outcome,
                   bool caller_fault = false);
@@ -150,6 +160,8 @@
   std::map<uint64_t, Active> active_;
   PeerLoads<Rules> loads_;
   SplitPicker split_picker_;
+  LabelledCounter results_;
+  LatencyHistogram times_;
   Counters<ReceivingCounter> counters_;
 };
 
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/receiving_inl.h
@@ -23,6 +23,8 @@
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::Attach(Context& ctx) {
   ctx.AllMetrics().Add(&counters_);
+  ctx.AllMetrics().AddLabelled("calls_by_result_total", &results_);
+  ctx.AllMetrics().AddHistogram("call_seconds", &times_);
   ctx.AllMetrics().AddGauge(
       "calls_active", [this] { return static_cast<double>(active_.size()); });
 }
@@ -117,6 +119,7 @@
   Active* active = FindFrom(from, refused.id);
   if (active == nullptr) return;
   ReleasePeer(*active);
+  NoteTrail(ctx, *active, from, NameOf(refused.reason));
   if (IsBusy(ctx, refused)) {
     HandleBusy(ctx, *active, from, refused);
     return;
@@ -165,12 +168,16 @@
     active->head_sent = true;
   }
   const AnswerEnd end = part.end;
+  const uint16_t status = part.status;
   ctx.Emit(AnswerCaller{active->call, std::move(part), ctx.Shared().draining});
   if (end == AnswerEnd::kMore) return;
   ReleasePeer(*active);
-  loads_.NoteTime(from, active->route.name,
-                  ctx.Now() - active->sent_at, ctx.Now());
+  loads_.NoteTime(from, active->route.name, ctx.Now() - active->sent_at,
+                  ctx.Now());
   CountOutcome(Outcome::kRan);
+  NoteTrail(ctx, *active, from, "answered");
+  NoteResult(ctx, *active, Outcome::kRan,
+             end == AnswerEnd::kBroken ? "cut" : "answered", status);
   // A cut answer is of no use to its caller.
   RaiseEnded(ctx, active->call,
              end == AnswerEnd::kBroken ? Outcome::kUnknown : Outcome::kRan);
@@ -190,6 +197,7 @@
                          ctx.Settings().choice == ChoicePolicy::kNearest;
   if (!may_retry || !MayRetry(ctx, active, true)) return false;
   ReleasePeer(active);
+  NoteTrail(ctx, active, from, std::to_string(part.status));
   counters_.Add(ReceivingCounter::kRetries);
   active.may_have_run = true;
   Attempt(ctx, active);
@@ -226,6 +234,7 @@
   if (active == nullptr) return;
   ReleasePeer(*active);
   NoteFailure(ctx, from);
+  NoteTrail(ctx, *active, from, NameOf(failed.reason));
   RetryOrAnswer(ctx, *active, failed.reason, Outcome::kUnknown, true);
 }
 
@@ -240,6 +249,7 @@
     Active& active = active_.at(call);
     if (QueryOutcome(ctx, active)) continue;
     ReleasePeer(active);
+    NoteTrail(ctx, active, peer, NameOf(Errc::kConnectionLost));
     RetryOrAnswer(ctx, active, Errc::kConnectionLost, Outcome::kUnknown, true);
   }
 }
@@ -270,6 +280,7 @@
     BreakAnswer(ctx, call);
     return;
   }
+  NoteTrail(ctx, active, active.admitting, "no-answer");
   AnswerFailure(ctx, call, Errc::kDeadlineExpired, Outcome::kUnknown);
   Finish(ctx, call);
 }
@@ -282,15 +293,59 @@
   if (Rules::kRememberAttempts && may_have_run) outcome = Outcome::kUnknown;
   CountOutcome(outcome);
   RaiseEnded(ctx, call, outcome);
-  const bool may_return =
-      it != active_.end() && outcome == Outcome::kNotRun &&
-      ctx.Settings().choice == ChoicePolicy::kNearest;
+  if (it != active_.end()) {
+    NoteResult(ctx, it->second, outcome, NameOf(reason),
+               CallStatusOf(reason, outcome));
+  } else {
+    results_.Add("route=\"\",outcome=\"" + std::string(NameOf(outcome)) +
+                 "\",reason=\"" + std::string(NameOf(reason)) + "\"");
+  }
+  const bool may_return = it != active_.end() && outcome == Outcome::kNotRun &&
+                          ctx.Settings().choice == ChoicePolicy::kNearest;
   const Duration retry_after =
       may_return ? RetryAfterFor(ctx, it->second, reason) : Duration::zero();
   ctx.Emit(AnswerCaller{call, MakeFailureAnswer(reason, outcome, retry_after),
                         ctx.Shared().draining});
 }
 
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::NoteTrail(Context& ctx, Active& active,
+                                         Address daemon, std::string_view end) {
+  const auto sent = ToMilliseconds(active.sent_at - active.arrived);
+  const auto took = ToMilliseconds(ctx.Now() - active.sent_at);
+  if (!active.trail.empty()) active.trail += ",";
+  active.trail += daemon.ToString() + "@" + std::to_string(sent) + "+" +
+                  std::to_string(took) + "ms:";
+  active.trail += end;
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+void Receiving<Choice, Rules>::NoteResult(Context& ctx, const Active& active,
+                                          Outcome outcome,
+                                          std::string_view reason,
+                                          uint16_t status) {
+  constexpr uint16_t kFirstServerError = 500;
+  const Duration time = ctx.Now() - active.arrived;
+  times_.Note(time);
+  const std::string outcome_name(NameOf(outcome));
+  results_.Add("route=\"" + active.route.name + "\",outcome=\"" + outcome_name +
+               "\",reason=\"" + std::string(reason) + "\"");
+  const bool served = outcome == Outcome::kRan && status < kFirstServerError;
+  ctx.Log(
+      served ? LogTopic::kCallServed : LogTopic::kCallFailed,
+      {{"id",
+        std::string(FindHeader(active.request.headers, header::kRequestId))},
+       {"route", active.route.name},
+       {"service", active.route.service},
+       {"version", std::to_string(active.snapshot->version)},
+       {"outcome", outcome_name},
+       {"reason", std::string(reason)},
+       {"status", std::to_string(status)},
+       {"ms", std::to_string(ToMilliseconds(time))},
+       {"left_ms", std::to_string(ToMilliseconds(active.deadline - ctx.Now()))},
+       {"attempts", active.trail}});
+}
+
 template <BackendChoice Choice, RequestRules Rules>
 void Receiving<Choice, Rules>::CountOutcome(Outcome outcome) {
   switch (outcome) {
--- a/Tests/Tool/daemon_test.cc
+++ b/Tests/Tool/daemon_test.cc
@@ -203,6 +203,20 @@
   CHECK_FALSE(IsDescribed("  --limit UINT=5   calls that wait"));
 }
 
+/// Name of the metric that a sample belongs to: without its labels, and without
+/// what the samples of a histogram add.
+std::string NameOfSample(const std::string& sample,
+                         const std::set<std::string>& known) {
+  const std::string name = sample.substr(0, sample.find('{'));
+  for (const char* suffix : {"_bucket", "_sum", "_count"}) {
+    if (!name.ends_with(suffix)) continue;
+    const std::string base =
+        name.substr(0, name.size() - std::string(suffix).size());
+    if (known.contains(base)) return base;
+  }
+  return name;
+}
+
 TEST_CASE("daemon: every metric has help and stands in the reference") {
   ProcessFleet fleet;
   fleet.StartDaemon(1, 1);
@@ -223,6 +237,7 @@
     words >> first >> second >> name;
     if (first == "#" && second == "HELP") helped.insert(name);
     if (first == "#") continue;
+    first = NameOfSample(first, helped);
     ++samples;
     CAPTURE(first);
     CHECK(helped.contains(first));
