--- a/Source/Plugins/backend_choice.cc
+++ b/Source/Plugins/backend_choice.cc
@@ -11,6 +11,9 @@
 /// Backend servers with at least this share of slots in use are full; when all
 /// of the own data centre are, others are considered.
 constexpr double kFullShare = 0.9;
+/// Candidates compared in and outside the own data centre. Many daemons that
+/// compared all would choose the same one at the same time.
+constexpr size_t kDrawn = 2;
 
 double ReportedShare(const Candidate& candidate) {
   const double half_lives = static_cast<double>(candidate.load_age.count()) /
@@ -80,6 +83,17 @@
   return from[ctx.RandomBelow(static_cast<uint32_t>(from.size()))];
 }
 
+/// Up to `n` of `from`, at random and without repetition.
+std::vector<size_t> Draw(Context& ctx, std::vector<size_t> from, size_t n) {
+  n = std::min(n, from.size());
+  for (size_t i = 0; i < n; ++i) {
+    const auto left = static_cast<uint32_t>(from.size() - i);
+    std::swap(from[i], from[i + ctx.RandomBelow(left)]);
+  }
+  from.resize(n);
+  return from;
+}
+
 /// The one of two random candidates with the lower cost.
 template <typename Cost>
 size_t PickBetter(Context& ctx, const std::vector<Candidate>& all, Cost cost) {
@@ -108,14 +122,16 @@
 
 size_t NearestChoice::Pick(Context& ctx,
                            const std::vector<Candidate>& all) const {
-  // A random start shares work among candidates that cost the same.
-  const size_t start = ctx.RandomBelow(static_cast<uint32_t>(all.size()));
-  size_t best = start;
-  for (size_t i = 1; i < all.size(); ++i) {
-    const size_t n = (start + i) % all.size();
-    if (NearestCost(all[n]) < NearestCost(all[best])) best = n;
+  std::vector<size_t> near;
+  std::vector<size_t> far;
+  for (size_t i = 0; i < all.size(); ++i) {
+    (all[i].same_data_centre ? near : far).push_back(i);
   }
-  return best;
+  std::vector<size_t> drawn = Draw(ctx, near, kDrawn);
+  for (const size_t i : Draw(ctx, far, kDrawn)) drawn.push_back(i);
+  return *std::min_element(drawn.begin(), drawn.end(), [&](size_t a, size_t b) {
+    return NearestCost(all[a]) < NearestCost(all[b]);
+  });
 }
 
 size_t UniformChoice::Pick(Context& ctx,
--- a/Source/Plugins/backend_choice.h
+++ b/Source/Plugins/backend_choice.h
@@ -50,8 +50,8 @@
   size_t Pick(Context& ctx, const std::vector<Candidate>& all) const;
 };
 
-/// The candidate that is expected to begin first, where the way to another data
-/// centre counts as a wait.
+/// The one of two random candidates in the own data centre and two outside that
+/// is expected to answer first, where the way out counts as a wait.
 struct NearestChoice {
   size_t Pick(Context& ctx, const std::vector<Candidate>& all) const;
 };
--- a/Source/Plugins/configuration_follower.cc
+++ b/Source/Plugins/configuration_follower.cc
@@ -25,6 +25,9 @@
 constexpr uint32_t kMaxRetryDoublings = 3;
 /// Time in which the own watch usually brings what a peer has told of.
 constexpr Duration kPullDelay = 250ms;
+/// Pause after a version of many routes until the next one is asked for.
+constexpr Duration kWatchPause = 500ms;
+constexpr size_t kManyRoutes = 600;
 /// Peers that are told of a version that the platform has sent.
 constexpr size_t kToldPeers = 3;
 
@@ -101,7 +104,7 @@
       confirmed_at_ = ctx.Now();
       TakeRow(ctx, replied.reply);
       store_version_ = std::max(store_version_, replied.reply.version);
-      Watch(ctx);
+      ScheduleWatch(ctx, !replied.reply.rows.empty());
       break;
     case PlatformStatus::kHistoryLost:
       counters_.Add(FollowerCounter::kHistoriesLost);
@@ -113,6 +116,16 @@
   }
 }
 
+/// Versions that follow one another are taken together, as each costs the same
+/// whatever it changes.
+void ConfigurationFollower::ScheduleWatch(Context& ctx, bool news) {
+  if (!news || store_.Held()->configuration.routes.size() < kManyRoutes) {
+    Watch(ctx);
+    return;
+  }
+  ctx.SetTimerIn(kWatchPause, TimerKind::kConfigurationRetry, attempt_);
+}
+
 void ConfigurationFollower::RetryLater(Context& ctx) {
   const uint32_t doublings = std::min(failures_++, kMaxRetryDoublings);
   const Duration wait = kFirstRetry * (1U << doublings);
--- a/Source/Plugins/configuration_follower.h
+++ b/Source/Plugins/configuration_follower.h
@@ -58,6 +58,7 @@
   void Watch(Context& ctx);
   void HandleReply(Context& ctx, const PlatformReplied& replied);
   void TakeRow(Context& ctx, const PlatformReply& reply);
+  void ScheduleWatch(Context& ctx, bool news);
   void RetryLater(Context& ctx);
   void HandleTimer(Context& ctx, const TimerFired& timer);
   void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
--- a/Tests/Platform/configuration_document_test.cc
+++ b/Tests/Platform/configuration_document_test.cc
@@ -7,6 +7,10 @@
 namespace buckthorncart::platform {
 namespace {
 
+Result<Snapshot> ParseConfigurationDocument(std::string_view text) {
+  return ConfigurationParser().Parse(text);
+}
+
 constexpr std::string_view kDocument = R"({"version":7,"routes":[
  {"name":"r1","host":"h.example","prefix":"/l/","kind":"safe","timeoutS":1,
   "targetLatencyS":0.5,"priority":2,"maxAttempts":2,"later":{"x":1},
@@ -36,6 +40,30 @@
   CHECK(configuration.FindRoute("other.example", "/x/y/z") == nullptr);
 }
 
+TEST_CASE("configuration document: one parser gives the same as a new one") {
+  ConfigurationParser parser;
+  std::string text(kDocument);
+  REQUIRE(parser.Parse(text));
+  text.replace(text.find("\"timeoutS\":1.2"), 14, "\"timeoutS\":9.9");
+  text.replace(text.find("\"version\":7"), 11, "\"version\":8");
+  const auto changed = parser.Parse(text);
+  REQUIRE(changed);
+  CHECK(changed->configuration ==
+        ParseConfigurationDocument(text)->configuration);
+  CHECK(changed->configuration.routes.at("r2").timeout_ms == 9'900);
+  // A bad document between two good ones changes nothing.
+  CHECK_FALSE(parser.Parse(text.substr(0, text.size() / 2)));
+  CHECK(parser.Parse(text)->configuration == changed->configuration);
+}
+
+TEST_CASE("configuration document: brackets in texts are no structure") {
+  std::string text(kDocument);
+  text.replace(text.find("\"later\":{\"x\":1}"), 15, R"("later":"}]{\\\"[")");
+  const auto snapshot = ParseConfigurationDocument(text);
+  REQUIRE(snapshot);
+  CHECK(snapshot->configuration.routes.size() == 2);
+}
+
 TEST_CASE("configuration document: an unknown kind may run once at most") {
   std::string text(kDocument);
   text.replace(text.find("safe"), 4, "odd1");
