--- a/Source/Plugins/drain.cc
+++ b/Source/Plugins/drain.cc
@@ -1,6 +1,8 @@
 #include "Plugins/drain.h"
 
 #include <memory>
+#include <string>
+#include <utility>
 
 #include "Kernel/context.h"
 #include "Kernel/plugin_registry.h"
@@ -50,7 +52,9 @@
   const Duration limit =
       std::chrono::milliseconds(ctx.Settings().drain_limit_ms);
   if (!done && lasted < limit) return;
-  ctx.Log(LogTopic::kDrained, {});
+  if (std::exchange(ended_, true)) return;
+  ctx.Log(LogTopic::kDrained,
+          {{"calls", std::to_string(ctx.Shared().active_calls)}});
   ctx.Emit(Exit{});
 }
 
--- a/Source/Plugins/drain.h
+++ b/Source/Plugins/drain.h
@@ -19,6 +19,8 @@
 
   Time began_{};
   Time busy_at_{};
+  /// The driver has been told to end.
+  bool ended_ = false;
 };
 
 }  // namespace buckthorncart
--- a/Tests/Tool/daemon_test.cc
+++ b/Tests/Tool/daemon_test.cc
@@ -217,6 +217,15 @@
   return name;
 }
 
+TEST_CASE("daemon: every event of the log stands in the reference") {
+  const std::string reference = ReadDocument("log-events.md");
+  for (const std::string_view event : EnumNames<LogTopic>::kNames) {
+    CAPTURE(event);
+    CHECK(reference.find("| `" + std::string(event) + "` |") !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE("daemon: every metric has help and stands in the reference") {
   ProcessFleet fleet;
   fleet.StartDaemon(1, 1);
