Format all sources, include what the test of log events uses

Cause: files committed early had not been through the formatter; the include was tied to a line that the file does not have.

--- a/Source/Config/configuration.cc
+++ b/Source/Config/configuration.cc
@@ -71,7 +71,8 @@
       failures.push_back({Errc::kInvalidValue, "route " + name + " timeout",
                           "1ms to 1h", "write for example timeout=500ms"});
     }
-    const auto [it, inserted] = route_by_path.emplace(route.host + route.path, name);
+    const auto [it, inserted] =
+        route_by_path.emplace(route.host + route.path, name);
     if (inserted) continue;
     failures.push_back({Errc::kDuplicateObject,
                         "route " + name + " path " + route.path,
@@ -115,10 +116,10 @@
   for (const auto& [name, route] : routes) {
     if (!route.host.empty() && route.host != host) continue;
     if (!IsPrefixOnBoundary(route.path, path)) continue;
-    const bool worse = best != nullptr &&
-                       (best->host.empty() == route.host.empty()
-                            ? best->path.size() >= route.path.size()
-                            : route.host.empty());
+    const bool worse =
+        best != nullptr && (best->host.empty() == route.host.empty()
+                                ? best->path.size() >= route.path.size()
+                                : route.host.empty());
     if (!worse) best = &route;
   }
   return best;
--- a/Source/Daemon/daemon_process.cc
+++ b/Source/Daemon/daemon_process.cc
@@ -75,12 +75,13 @@
       status != PlatformStatus::kUnknown) {
     return;
   }
-  log_.Write({LogTopic::kPlatformState,
-              {{"state", "unreachable"},
-               {"setting", "--platform http://" + settings_.platform.ToString()},
-               {"expected", "the address of the running platform"},
-               {"advice", "correct --platform or start the platform"}},
-              LogLevel::kWarning});
+  log_.Write(
+      {LogTopic::kPlatformState,
+       {{"state", "unreachable"},
+        {"setting", "--platform http://" + settings_.platform.ToString()},
+        {"expected", "the address of the running platform"},
+        {"advice", "correct --platform or start the platform"}},
+       LogLevel::kWarning});
 }
 
 }  // namespace buckthorncart
--- a/Source/Kernel/plugin_registry.cc
+++ b/Source/Kernel/plugin_registry.cc
@@ -30,10 +30,9 @@
   return plugins;
 }
 
-PluginRegistration::PluginRegistration(PluginRank rank,
-                                       PluginRegistry::Factory factory,
-                                       std::optional<ConfigurationSource>
-                                           only_for) {
+PluginRegistration::PluginRegistration(
+    PluginRank rank, PluginRegistry::Factory factory,
+    std::optional<ConfigurationSource> only_for) {
   PluginRegistry::Instance().Add(rank, std::move(factory), only_for);
 }
 
--- a/Source/Net/descriptor_watcher.cc
+++ b/Source/Net/descriptor_watcher.cc
@@ -65,8 +65,7 @@
                                 void* /*user*/, void* /*in*/, size_t /*len*/) {
   auto* owner = static_cast<WatchedDescriptor*>(lws_get_opaque_user_data(wsi));
   if (owner == nullptr) return 0;
-  auto& watcher =
-      *static_cast<DescriptorWatcher*>(lws_get_protocol(wsi)->user);
+  auto& watcher = *static_cast<DescriptorWatcher*>(lws_get_protocol(wsi)->user);
   switch (reason) {
     case LWS_CALLBACK_RAW_RX_FILE:
       return owner->OnReadable() ? 0 : -1;
--- a/Source/Net/http_platform.cc
+++ b/Source/Net/http_platform.cc
@@ -17,7 +17,8 @@
   if (fault == BackendFault::kNotConnected) {
     return {PlatformStatus::kUnavailable, {}, {}, 0};
   }
-  if (fault != BackendFault::kNone) return {PlatformStatus::kUnknown, {}, {}, 0};
+  if (fault != BackendFault::kNone)
+    return {PlatformStatus::kUnknown, {}, {}, 0};
   if (status == kHttpUnavailable) {
     return {PlatformStatus::kUnavailable, {}, {}, 0};
   }
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -47,9 +47,7 @@
   return host_.Listen(address, [this](Stream& stream) { Accept(stream); });
 }
 
-void HttpServer::StopListening() {
-  host_.StopListening();
-}
+void HttpServer::StopListening() { host_.StopListening(); }
 
 void HttpServer::Accept(Stream& stream) {
   if (sessions_.size() >= limits_.connections) {
@@ -92,9 +90,8 @@
 }
 
 bool HttpServer::IsIdle() const {
-  return std::none_of(sessions_.begin(), sessions_.end(), [](const auto& item) {
-    return item.second->IsBusy();
-  });
+  return std::none_of(sessions_.begin(), sessions_.end(),
+                      [](const auto& item) { return item.second->IsBusy(); });
 }
 
 size_t HttpServer::BufferedBytes(uint64_t id) const {
--- a/Source/Net/http_session.h
+++ b/Source/Net/http_session.h
@@ -166,7 +166,8 @@
     const bool whole = part.end == AnswerEnd::kComplete;
     size_t length = part.body.size();
     const bool use_given = !given.empty() && (!whole || to_head_);
-    if (use_given) length = std::strtoull(std::string(given).c_str(), nullptr, 10);
+    if (use_given)
+      length = std::strtoull(std::string(given).c_str(), nullptr, 10);
     framing_ = AnswerFraming::kLength;
     if (!HasBody(part.status)) {
       framing_ = AnswerFraming::kNone;
--- a/Source/Net/peer_transport.cc
+++ b/Source/Net/peer_transport.cc
@@ -127,8 +127,7 @@
 
 void PeerTransport::Send(Address to, const PeerMessage& message) {
   const auto it = sending_.find(to);
-  Connection& connection =
-      it == sending_.end() ? Connect(to) : *it->second;
+  Connection& connection = it == sending_.end() ? Connect(to) : *it->second;
   connection.Send(message);
 }
 
--- a/Source/Net/tcp_host.cc
+++ b/Source/Net/tcp_host.cc
@@ -82,10 +82,10 @@
 }
 
 Result<void> TcpHost::Listen(Address address, AcceptHandler on_accept) {
-  const auto in_use = Fail(Errc::kAddressInUse, address.ToString(),
-                           "a free address of this VM",
-                           "choose another address or end the process that "
-                           "listens there");
+  const auto in_use =
+      Fail(Errc::kAddressInUse, address.ToString(), "a free address of this VM",
+           "choose another address or end the process that "
+           "listens there");
   const int fd = OpenSocket();
   if (fd < 0) return in_use;
   SetOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
--- a/Source/Plugins/backend_life.h
+++ b/Source/Plugins/backend_life.h
@@ -22,8 +22,7 @@
     if (backend.started_ms != 0 && backend.started_ms < started_ms_) {
       return false;
     }
-    const bool same =
-        backend.started_ms == started_ms_ && backend.id == id_;
+    const bool same = backend.started_ms == started_ms_ && backend.id == id_;
     const bool ordered = announcement.sequence != 0;
     if (same && ordered && announcement.sequence <= sequence_) return false;
     const bool leaves = backend.state == BackendState::kDraining ||
--- a/Source/Plugins/call_plan.cc
+++ b/Source/Plugins/call_plan.cc
@@ -41,7 +41,8 @@
       return tl::unexpected(Errc::kInvalidDeadline);
     }
   }
-  if (route.caps_deadline) deadline_ms = std::min(deadline_ms, route.timeout_ms);
+  if (route.caps_deadline)
+    deadline_ms = std::min(deadline_ms, route.timeout_ms);
   if (deadline_ms == 0) return tl::unexpected(Errc::kDeadlineExpired);
   return std::chrono::milliseconds(deadline_ms);
 }
--- a/Source/Plugins/change_acceptor.cc
+++ b/Source/Plugins/change_acceptor.cc
@@ -8,7 +8,8 @@
 namespace {
 
 const PluginRegistration kRegistration(
-    PluginRank::kAcceptance, [](const KernelSettings& /*settings*/) {
+    PluginRank::kAcceptance,
+    [](const KernelSettings& /*settings*/) {
       return std::make_unique<ChangeAcceptor<StandardAcceptanceRules>>();
     },
     ConfigurationSource::kAccepted);
--- a/Source/Plugins/change_preview.cc
+++ b/Source/Plugins/change_preview.cc
@@ -17,7 +17,8 @@
 namespace {
 
 const PluginRegistration kRegistration(
-    PluginRank::kOperators, [](const KernelSettings& /*settings*/) {
+    PluginRank::kOperators,
+    [](const KernelSettings& /*settings*/) {
       return std::make_unique<ChangePreview>();
     },
     ConfigurationSource::kAccepted);
--- a/Source/Plugins/claim_relay.cc
+++ b/Source/Plugins/claim_relay.cc
@@ -8,7 +8,8 @@
 namespace {
 
 const PluginRegistration kRegistration(
-    PluginRank::kClaims, [](const KernelSettings& /*settings*/) {
+    PluginRank::kClaims,
+    [](const KernelSettings& /*settings*/) {
       return std::make_unique<ClaimRelay<StandardClaimRelayRules>>();
     },
     ConfigurationSource::kAccepted);
--- a/Source/Plugins/claim_sweep.cc
+++ b/Source/Plugins/claim_sweep.cc
@@ -13,10 +13,11 @@
 namespace buckthorncart {
 namespace {
 
-const PluginRegistration kRegistration(PluginRank::kClaims,
-                                       [](const KernelSettings& /*settings*/) {
-                                         return std::make_unique<ClaimSweep>();
-                                       },
+const PluginRegistration kRegistration(
+    PluginRank::kClaims,
+    [](const KernelSettings& /*settings*/) {
+      return std::make_unique<ClaimSweep>();
+    },
     ConfigurationSource::kAccepted);
 
 constexpr uint32_t kPageRows = 500;
--- a/Source/Plugins/peer_loads.h
+++ b/Source/Plugins/peer_loads.h
@@ -110,8 +110,7 @@
     candidate.load_per_mille = known.load_per_mille;
     candidate.load_age = now - known.load_at;
     candidate.failure_share = known.failures.At(now);
-    candidate.expected_time =
-        ExpectedOf(known, route, now);
+    candidate.expected_time = ExpectedOf(known, route, now);
     candidate.weight = ShareOf(known, slow_start, now);
     return candidate;
   }
--- a/Source/Plugins/receiving_attempts_inl.h
+++ b/Source/Plugins/receiving_attempts_inl.h
@@ -56,13 +56,13 @@
   ctx.Shared().peers_used[chosen.daemon] = ctx.Now();
   counters_.Add(ReceivingCounter::kAttempts);
   const auto remaining = ToMilliseconds(active.deadline - ctx.Now());
-  ctx.Send(chosen.daemon,
-           Call{active.call, active.route.service, active.route.request_class,
-                active.route.repeatable, active.idempotency_key,
-                static_cast<uint32_t>(std::max<int64_t>(remaining, 0)),
-                active.fingerprint, active.request, active.route.priority,
-                MaxWaitMs(ctx, active), active.route.name,
-                TargetMs(ctx, active)});
+  ctx.Send(
+      chosen.daemon,
+      Call{active.call, active.route.service, active.route.request_class,
+           active.route.repeatable, active.idempotency_key,
+           static_cast<uint32_t>(std::max<int64_t>(remaining, 0)),
+           active.fingerprint, active.request, active.route.priority,
+           MaxWaitMs(ctx, active), active.route.name, TargetMs(ctx, active)});
 }
 
 template <BackendChoice Choice, RequestRules Rules>
@@ -185,8 +185,8 @@
   }
   const Duration slow_start =
       std::chrono::milliseconds(ctx.Settings().slow_start_ms);
-  Candidate candidate = loads_.Describe(member, active.route.name,
-                                        slow_start, ctx.Now());
+  Candidate candidate =
+      loads_.Describe(member, active.route.name, slow_start, ctx.Now());
   candidate.suspect = member.status == MemberStatus::kSuspect;
   candidate.same_data_centre = member.data_centre == ctx.Settings().data_centre;
   candidates.push_back(candidate);
--- a/Source/Plugins/snapshot_writer.cc
+++ b/Source/Plugins/snapshot_writer.cc
@@ -14,7 +14,8 @@
 namespace {
 
 const PluginRegistration kRegistration(
-    PluginRank::kAcceptance, [](const KernelSettings& /*settings*/) {
+    PluginRank::kAcceptance,
+    [](const KernelSettings& /*settings*/) {
       return std::make_unique<SnapshotWriter>();
     },
     ConfigurationSource::kAccepted);
--- a/Source/Wire/http_answer_reader.cc
+++ b/Source/Wire/http_answer_reader.cc
@@ -42,9 +42,8 @@
   while (true) {
     messages.Get().skip(parser_->to_head);
     const ReadState state = messages.Advance();
-    const bool interim =
-        messages.Get().is_header_done() &&
-        messages.Get().get().result_int() < kFirstFinalStatus;
+    const bool interim = messages.Get().is_header_done() &&
+                         messages.Get().get().result_int() < kFirstFinalStatus;
     if (state != ReadState::kWhole || !interim) return state;
     messages.Reset();
   }
--- a/Source/Wire/http_request_reader.cc
+++ b/Source/Wire/http_request_reader.cc
@@ -45,8 +45,8 @@
   if (library == nullptr || !library->is_header_done()) return false;
   if (library->is_done() || parser_->continue_asked) return false;
   const auto& message = library->get();
-  const auto expect = MessageParser<true>::ToView(
-      message[boost::beast::http::field::expect]);
+  const auto expect =
+      MessageParser<true>::ToView(message[boost::beast::http::field::expect]);
   if (LowerCase(expect) != "100-continue") return false;
   parser_->continue_asked = true;
   return true;
--- a/Source/Wire/message_parser.cc
+++ b/Source/Wire/message_parser.cc
@@ -13,11 +13,17 @@
 }
 
 bool IsHopByHop(std::string_view lower_case_name) {
-  constexpr std::string_view kNames[] = {
-      "connection",          "content-length", "keep-alive",
-      "transfer-encoding",   "te",             "trailer",
-      "upgrade",             "expect",         "proxy-authenticate",
-      "proxy-authorization", "proxy-connection"};
+  constexpr std::string_view kNames[] = {"connection",
+                                         "content-length",
+                                         "keep-alive",
+                                         "transfer-encoding",
+                                         "te",
+                                         "trailer",
+                                         "upgrade",
+                                         "expect",
+                                         "proxy-authenticate",
+                                         "proxy-authorization",
+                                         "proxy-connection"};
   return std::find(std::begin(kNames), std::end(kNames), lower_case_name) !=
          std::end(kNames);
 }
--- a/Source/Wire/message_parser.h
+++ b/Source/Wire/message_parser.h
@@ -29,8 +29,8 @@
 template <bool kIsRequest>
 class MessageParser {
  public:
-  using Library = boost::beast::http::parser<kIsRequest,
-                                             boost::beast::http::string_body>;
+  using Library =
+      boost::beast::http::parser<kIsRequest, boost::beast::http::string_body>;
 
   explicit MessageParser(const HttpLimits& limits) : limits_(limits) {}
 
--- a/Tests/Tool/daemon_test.cc
+++ b/Tests/Tool/daemon_test.cc
@@ -8,6 +8,7 @@
 #include <set>
 #include <sstream>
 
+#include "Kernel/effect.h"
 #include "Tool/program_output.h"
 
 namespace buckthorncart {
