Wake the loop when it is stopped, open to callers once ready

Cause of the load tool that did not end: a timer that is due as libwebsockets begins to wait runs within that wait, so that a stop from it was seen only when a socket spoke. With all daemons killed none does. The stop now wakes the wait. Ruled out: a lost signal (its handler wakes the wait) and attempts without end (they are bounded).

Cause of the call answered 503 during a rolling restart: a new daemon listened for callers before its floor was known. The product's daemon now binds the address at its start and listens when it is ready; on the users' platform readiness has an address of its own and nothing changes.

--- a/Source/Daemon/daemon_process.cc
+++ b/Source/Daemon/daemon_process.cc
@@ -56,7 +56,8 @@
   FlushLog();
   driver_.Start();
   loop_.Run();
-  return 0;
+  const Result<void>& ended = driver_.Ended();
+  return ended ? 0 : Report(ended.error());
 }
 
 void DaemonProcess::FlushLog() {
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -37,14 +37,21 @@
 
 HttpServer::~HttpServer() = default;
 
-Result<void> HttpServer::Listen(const std::string& name, Address address) {
+Result<void> HttpServer::Bind(const std::string& name, Address address) {
   if (!open_) {
     const Result<void> opened = host_.Open(name);
     if (!opened) return opened;
     open_ = true;
     loop_.RunIn(kSweepInterval, [this] { Sweep(); });
   }
-  return host_.Listen(address, [this](Stream& stream) { Accept(stream); });
+  return host_.Bind(address, [this](Stream& stream) { Accept(stream); });
+}
+
+Result<void> HttpServer::StartListening() { return host_.StartListening(); }
+
+Result<void> HttpServer::Listen(const std::string& name, Address address) {
+  const Result<void> bound = Bind(name, address);
+  return bound ? StartListening() : bound;
 }
 
 void HttpServer::StopListening() { host_.StopListening(); }
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -38,8 +38,13 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /// Takes an address whose connections are refused until `StartListening`.
   /// Fails with `kAddressInUse`. May be called for several addresses; `name`
   /// is used the first time.
+  Result<void> Bind(const std::string& name, Address address);
+  /// Listens on the addresses taken so far. Fails with `kAddressInUse`.
+  Result<void> StartListening();
+  /// Both of the above.
   Result<void> Listen(const std::string& name, Address address);
   /// Takes no more connections; those that wait are taken before.
   void StopListening();
--- a/Source/Net/loop.cc
+++ b/Source/Net/loop.cc
@@ -91,7 +91,11 @@
   Close();
 }
 
-void Loop::Stop() { stopped_ = true; }
+void Loop::Stop() {
+  stopped_ = true;
+  // A timer may run as the library begins to wait for sockets.
+  if (context_ != nullptr) lws_cancel_service(context_);
+}
 
 void Loop::RunAt(Time at, std::function<void()> task) {
   tasks_.emplace(at, std::move(task));
--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -127,7 +127,11 @@
   const Address self = kernel_.GetContext().Settings().self;
   Result<void> opened = peers_.Listen();
   if (opened) opened = datagrams_.Bind(self);
-  if (opened) opened = callers_.Listen("callers", settings_.callers);
+  if (opened) opened = callers_.Bind("callers", settings_.callers);
+  if (opened && !settings_.callers_when_ready) {
+    open_to_callers_ = true;
+    opened = callers_.StartListening();
+  }
   if (opened) opened = operators_.Listen("operators", settings_.operators);
   for (const Address address : settings_.more_operators) {
     if (opened) opened = operators_.Listen("operators", address);
@@ -153,6 +157,13 @@
     }
   }
   dispatching_ = false;
+  if (!open_to_callers_ && kernel_.GetContext().Shared().ready) OpenToCallers();
+}
+
+void LoopDriver::OpenToCallers() {
+  open_to_callers_ = true;
+  ended_ = callers_.StartListening();
+  if (!ended_) loop_.Stop();
 }
 
 void LoopDriver::OnMessage(Address from, PeerMessage message) {
--- a/Source/Net/loop_driver.h
+++ b/Source/Net/loop_driver.h
@@ -32,6 +32,9 @@
   HttpServerLimits limits;
   /// More addresses for operators' requests, such as checks of readiness.
   std::vector<Address> more_operators;
+  /// Refuses callers' connections until the daemon is ready, so that callers
+  /// that try one daemon after the other are not turned away by a new one.
+  bool callers_when_ready = false;
   HttpClientSettings backend;
 };
 
@@ -51,6 +54,8 @@
   void Start();
   /// Hands an event to the kernel and carries out what it asks for.
   void Dispatch(Event event);
+  /// The failure that ended the loop, if one did.
+  const Result<void>& Ended() const { return ended_; }
 
  private:
   /// Turns what happens on one HTTP server into events.
@@ -75,6 +80,7 @@
   void Carry(const LogChange& effect);
   void Carry(const Exit& effect);
   void OnBackendPart(uint64_t run, AnswerPart part, BackendFault fault);
+  void OpenToCallers();
   void StopWhenIdle(Time earliest, Time latest);
   void AddMetrics();
 
@@ -96,6 +102,8 @@
   std::deque<Event> pending_;
   bool dispatching_ = false;
   bool exiting_ = false;
+  bool open_to_callers_ = false;
+  Result<void> ended_;
   uint64_t bad_frames_ = 0;
 };
 
--- a/Source/Net/tcp_host.cc
+++ b/Source/Net/tcp_host.cc
@@ -46,6 +46,13 @@
   SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
 }
 
+tl::unexpected<Failure> InUse(Address address) {
+  return Fail(Errc::kAddressInUse, address.ToString(),
+              "a free address of this VM",
+              "choose another address or end the process that "
+              "listens there");
+}
+
 int OpenSocket() {
   return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 }
@@ -55,9 +62,20 @@
 /// A socket that listens.
 class TcpHost::Listener : public WatchedDescriptor {
  public:
-  Listener(TcpHost& host, int fd, AcceptHandler on_accept)
-      : host_(host), fd_(fd), on_accept_(std::move(on_accept)) {}
+  Listener(TcpHost& host, Address address, int fd, AcceptHandler on_accept)
+      : host_(host),
+        address_(address),
+        fd_(fd),
+        on_accept_(std::move(on_accept)) {}
+  /// Closes a socket that was bound and never listened.
+  ~Listener() override {
+    if (!started_) close(fd_);
+  }
 
+  Address At() const { return address_; }
+  int Descriptor() const { return fd_; }
+  bool IsStarted() const { return started_; }
+  void SetStarted() { started_ = true; }
   bool OnReadable() override {
     if (!closed_) host_.AcceptAll(fd_, on_accept_);
     return true;
@@ -67,8 +85,10 @@
 
  private:
   TcpHost& host_;
+  Address address_;
   int fd_;
   AcceptHandler on_accept_;
+  bool started_ = false;
   bool closed_ = false;
 };
 
@@ -81,30 +101,45 @@
   return watcher_.Open(name);
 }
 
-Result<void> TcpHost::Listen(Address address, AcceptHandler on_accept) {
-  const auto in_use =
-      Fail(Errc::kAddressInUse, address.ToString(), "a free address of this VM",
-           "choose another address or end the process that "
-           "listens there");
+Result<void> TcpHost::Bind(Address address, AcceptHandler on_accept) {
   const int fd = OpenSocket();
-  if (fd < 0) return in_use;
+  if (fd < 0) return InUse(address);
   SetOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
   const sockaddr_in name = ToSocketAddress(address);
-  const bool listens =
-      bind(fd, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0 &&
-      listen(fd, kBacklog) == 0;
-  if (!listens) {
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) != 0) {
     close(fd);
-    return in_use;
+    return InUse(address);
   }
-  auto listener = std::make_unique<Listener>(*this, fd, std::move(on_accept));
-  if (!watcher_.Add(fd, *listener)) return in_use;
-  listeners_.push_back(std::move(listener));
+  listeners_.push_back(
+      std::make_unique<Listener>(*this, address, fd, std::move(on_accept)));
   return {};
 }
 
+Result<void> TcpHost::StartListening() {
+  for (const auto& listener : listeners_) {
+    if (listener->IsStarted()) continue;
+    const Result<void> started = Start(*listener);
+    if (!started) return started;
+  }
+  return {};
+}
+
+Result<void> TcpHost::Start(Listener& listener) {
+  const int fd = listener.Descriptor();
+  if (listen(fd, kBacklog) != 0) return InUse(listener.At());
+  listener.SetStarted();
+  if (!watcher_.Add(fd, listener)) return InUse(listener.At());
+  return {};
+}
+
+Result<void> TcpHost::Listen(Address address, AcceptHandler on_accept) {
+  const Result<void> bound = Bind(address, std::move(on_accept));
+  return bound ? StartListening() : bound;
+}
+
 void TcpHost::StopListening() {
   for (const auto& listener : listeners_) {
+    if (!listener->IsStarted()) continue;
     listener->OnReadable();
     watcher_.Remove(*listener);
   }
--- a/Source/Net/tcp_host.h
+++ b/Source/Net/tcp_host.h
@@ -37,7 +37,13 @@
 
   /// Must succeed before all else. `name` is unique in the loop.
   Result<void> Open(const std::string& name);
+  /// Takes an address whose connections are refused until `StartListening`.
   /// Fails with `kAddressInUse`.
+  Result<void> Bind(Address address, AcceptHandler on_accept);
+  /// Listens on all addresses taken so far. Fails with `kAddressInUse` when
+  /// another process has begun to listen on one in the meantime.
+  Result<void> StartListening();
+  /// Both of the above.
   Result<void> Listen(Address address, AcceptHandler on_accept);
   /// Accepts what waits and closes all listeners; open connections stay.
   void StopListening();
@@ -49,6 +55,7 @@
  private:
   class Listener;
 
+  Result<void> Start(Listener& listener);
   void AcceptAll(int fd, const AcceptHandler& on_accept);
 
   Loop& loop_;
--- a/Tests/EndToEnd/drain_test.cc
+++ b/Tests/EndToEnd/drain_test.cc
@@ -126,5 +126,17 @@
   CHECK(test.fleet.WaitForExit("daemon-1", 20s) == 0);
 }
 
+TEST_CASE("start: callers' connections are refused until a daemon is ready") {
+  ProcessFleet fleet;
+  fleet.StartDaemon(1, 1);
+  REQUIRE(WaitFor(
+      [&] { return fleet.Get(fleet.Operators(1), "/ready").status == 503; }));
+  CHECK(fleet.Get(fleet.Callers(1), "/p/1").status == 0);
+  fleet.StartPlatform();
+  REQUIRE(WaitFor(
+      [&] { return fleet.Get(fleet.Operators(1), "/ready").status == 200; }));
+  CHECK(fleet.Get(fleet.Callers(1), "/p/1").status == 404);
+}
+
 }  // namespace
 }  // namespace buckthorncart
--- a/Tests/Kernel/trace_test.cc
+++ b/Tests/Kernel/trace_test.cc
@@ -1,7 +1,9 @@
 #include "Kernel/trace.h"
 
 #include <doctest/doctest.h>
+#include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 
 #include "Support/fake_daemon.h"
@@ -21,7 +23,16 @@
   return std::nullopt;
 }
 
-Trace RecordShortTrace(const std::string& path) {
+/// A file of this process among the system's temporary files.
+std::string TraceFile() {
+  static const std::string path =
+      std::filesystem::temp_directory_path() /
+      ("buckthorncart-" + std::to_string(getpid()) + ".trace");
+  return path;
+}
+
+Trace RecordShortTrace() {
+  const std::string path = TraceFile();
   const KernelSettings settings = TestSettings(1, "nl-west-a");
   auto writer = TraceWriter::Open(path, settings);
   REQUIRE(writer);
@@ -39,27 +50,28 @@
 }
 
 TEST_CASE("trace: a replay has the recorded effects") {
-  const Trace trace = RecordShortTrace("short.trace");
+  const Trace trace = RecordShortTrace();
   CHECK(trace.records.size() == 3);
   CHECK(!FirstDifference(trace));
 }
 
 TEST_CASE("trace: a replay of other events differs") {
-  Trace trace = RecordShortTrace("altered.trace");
+  Trace trace = RecordShortTrace();
   std::swap(trace.records[1].event, trace.records[2].event);
   CHECK(FirstDifference(trace));
 }
 
 TEST_CASE("trace: a missing or cut file is a typed failure") {
   CHECK(ReadTrace("no-such.trace").error().code == Errc::kUnreadableTrace);
-  RecordShortTrace("cut.trace");
-  std::ifstream in("cut.trace", std::ios::binary);
+  RecordShortTrace();
+  std::ifstream in(TraceFile(), std::ios::binary);
   std::string bytes((std::istreambuf_iterator<char>(in)), {});
-  std::ofstream("cut.trace", std::ios::binary)
+  std::ofstream(TraceFile(), std::ios::binary)
       << bytes.substr(0, bytes.size() - 5);
-  const auto cut = ReadTrace("cut.trace");
+  const auto cut = ReadTrace(TraceFile());
   REQUIRE(!cut);
   CHECK(cut.error().code == Errc::kUnreadableTrace);
+  std::filesystem::remove(TraceFile());
 }
 
 TEST_CASE("trace: the recorded whole path ends with version 1 in force") {
