Send large configurations to narrow links as deltas from relays

With 1,600 routes a version is 349,100 bytes in the store's answer, 0.56 s of a 5 Mbit/s link, and versions come every 1.1 s; besides, a daemon 250 ms behind pulled the same version whole from a peer (823 of 2,166 versions), across data centres.

A pull is answered with deltas too, and a daemon whose own watch is in order waits 1.2 s before it pulls.

Tests: relays_test, in virtual time with 1,600 routes and a storm of versions.

--- a/Source/Kernel/effect.h
+++ b/Source/Kernel/effect.h
@@ -107,16 +107,23 @@
   kCallRefused,
   /// A run ended without a good answer.
   kRunFailed,
+  /// Versions of the configuration come from elsewhere from now on.
+  kConfigurationSource,
 };
 
 template <>
 struct EnumNames<LogTopic> {
   static constexpr std::string_view kNames[] = {
-      "started",       "floor-known",   "version-held",   "version-held-back",
-      "member-status", "backend-state", "platform-state", "operation",
-      "frozen",        "draining",      "drained",        "crash-guard",
-      "peer-fault",    "ejected",       "reloaded",       "call-served",
-      "call-failed",   "call-refused",  "run-failed"};
+      "started",        "floor-known",
+      "version-held",   "version-held-back",
+      "member-status",  "backend-state",
+      "platform-state", "operation",
+      "frozen",         "draining",
+      "drained",        "crash-guard",
+      "peer-fault",     "ejected",
+      "reloaded",       "call-served",
+      "call-failed",    "call-refused",
+      "run-failed",     "configuration-source"};
 };
 
 enum class LogLevel : uint8_t { kInfo, kWarning };
--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -169,6 +169,13 @@
   MSGPACK_DEFINE(backend)
 };
 
+/// The daemon has become able or unable to pass versions of the configuration
+/// on.
+struct RelayChanged {
+  bool relays = false;
+  MSGPACK_DEFINE(relays)
+};
+
 /// The loop did not run for longer than the peer timeout.
 struct LoopFrozen {
   uint64_t frozen_us = 0;
@@ -198,7 +205,7 @@
                  ShutdownRequested, ConfigurationAdopted, HeadObserved,
                  MemberChanged, LocalBackendChanged, LoopFrozen, DrainStarted,
                  CallerDrained, ClaimWanted, ClaimGranted, ClaimDenied,
-                 ClaimUnused, ClaimWritten, CallEnded>;
+                 ClaimUnused, ClaimWritten, CallEnded, RelayChanged>;
 
 }  // namespace buckthorncart
 
--- a/Source/Kernel/kernel_settings.h
+++ b/Source/Kernel/kernel_settings.h
@@ -127,6 +127,10 @@
   /// Time after which callers that go on sending are refused.
   uint32_t callers_grace_ms = 5'000;
 
+  // Configuration, continued.
+  /// Passes versions that the platform sends on to daemons that do not watch.
+  bool relays_configuration = true;
+
   MSGPACK_DEFINE(self, data_centre, peers, backend, seed, spreading,
                  spreading_fanout, holders_timeout_ms, decision_timeout_ms,
                  head_read_interval_ms, snapshot_every, probe_period_ms,
@@ -135,7 +139,7 @@
                  slow_start_ms, platform_timeout_ms, platform_queue_limit,
                  platform_concurrency, choice, answer_window_bytes, source,
                  watch_wait_ms, caller_service, backend_lease_ms, retry_reserve,
-                 drain_limit_ms, callers_grace_ms)
+                 drain_limit_ms, callers_grace_ms, relays_configuration)
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/configuration_follower.cc
+++ b/Source/Plugins/configuration_follower.cc
@@ -8,6 +8,7 @@
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
 #include "Kernel/plugin_registry.h"
+#include "Plugins/configuration_relays.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
@@ -23,11 +24,20 @@
 /// First wait after a failed call to the platform; it doubles.
 constexpr Duration kFirstRetry = 100ms;
 constexpr uint32_t kMaxRetryDoublings = 3;
-/// Time in which the own watch usually brings what a peer has told of.
+/// Time in which a relay usually brings what a peer has told of.
 constexpr Duration kPullDelay = 250ms;
+/// The same for a watch that is in order. A version may fill a narrow link
+/// for half a second, and would come twice.
+constexpr Duration kPullDelayOfWatch = 1'200ms;
 /// Pause after a version of many routes until the next one is asked for.
 constexpr Duration kWatchPause = 500ms;
 constexpr size_t kManyRoutes = 600;
+/// Interval at which a daemon makes sure that its relays are still there.
+constexpr Duration kRelayCheck = 500ms;
+/// Time in which a new daemon hears of relays, before it watches itself.
+constexpr Duration kSettleTime = 1s;
+/// Failed calls after which a relay is no longer one.
+constexpr uint32_t kRelayFailures = 2;
 /// Peers that are told of a version that the platform has sent.
 constexpr size_t kToldPeers = 3;
 
@@ -63,7 +73,11 @@
   } else if (const auto* frozen = std::get_if<LoopFrozen>(&event)) {
     ctx.Log(LogTopic::kFrozen, {{"us", std::to_string(frozen->frozen_us)}},
             LogLevel::kWarning);
-    Read(ctx);
+    if (relying_) {
+      Pull(ctx, source_);
+    } else {
+      Read(ctx);
+    }
   } else if (const auto* replied = std::get_if<PlatformReplied>(&event)) {
     HandleReply(ctx, *replied);
   } else if (const auto* timer = std::get_if<TimerFired>(&event)) {
@@ -102,9 +116,11 @@
     case PlatformStatus::kOk:
       failures_ = 0;
       confirmed_at_ = ctx.Now();
+      SetRelays(ctx, ctx.Settings().relays_configuration);
       TakeRow(ctx, replied.reply);
+      ctx.SetTimerIn(WaitBeforeWatch(ctx, !replied.reply.rows.empty()),
+                     TimerKind::kConfigurationRetry, attempt_);
       store_version_ = std::max(store_version_, replied.reply.version);
-      ScheduleWatch(ctx, !replied.reply.rows.empty());
       break;
     case PlatformStatus::kHistoryLost:
       counters_.Add(FollowerCounter::kHistoriesLost);
@@ -116,18 +132,42 @@
   }
 }
 
-/// Versions that follow one another are taken together, as each costs the same
-/// whatever it changes.
-void ConfigurationFollower::ScheduleWatch(Context& ctx, bool news) {
-  if (!news || store_.Held()->configuration.routes.size() < kManyRoutes) {
+Duration ConfigurationFollower::WaitBeforeWatch(const Context& ctx,
+                                                bool news) const {
+  if (ctx.Settings().relays_configuration) return Duration::zero();
+  if (store_version_ == 0) return kSettleTime;
+  // Versions that follow one another are taken together, as each costs the
+  // same whatever it changes.
+  const bool many = store_.Held()->configuration.routes.size() >= kManyRoutes;
+  return news && many ? kWatchPause : Duration::zero();
+}
+
+void ConfigurationFollower::Continue(Context& ctx) {
+  const bool rely = store_.Held()->version > 0 &&
+                    ConfigurationRelays(ctx.Shared()).ServeSelf();
+  SetRelying(ctx, rely);
+  if (!rely) {
     Watch(ctx);
     return;
   }
-  ctx.SetTimerIn(kWatchPause, TimerKind::kConfigurationRetry, attempt_);
+  ctx.SetTimerIn(kRelayCheck, TimerKind::kConfigurationRetry, attempt_);
+}
+
+void ConfigurationFollower::SetRelying(Context& ctx, bool relying) {
+  if (std::exchange(relying_, relying) == relying) return;
+  ctx.Log(LogTopic::kConfigurationSource,
+          {{"source", relying ? "relays" : "platform"},
+           {"held", std::to_string(store_.Held()->version)}});
+}
+
+void ConfigurationFollower::SetRelays(Context& ctx, bool relays) {
+  if (std::exchange(relays_, relays) == relays) return;
+  ctx.Raise(RelayChanged{relays});
 }
 
 void ConfigurationFollower::RetryLater(Context& ctx) {
   const uint32_t doublings = std::min(failures_++, kMaxRetryDoublings);
+  if (failures_ >= kRelayFailures) SetRelays(ctx, false);
   const Duration wait = kFirstRetry * (1U << doublings);
   const auto jitter = ctx.RandomBelow(static_cast<uint32_t>(wait.count()) / 2);
   ctx.SetTimerIn(wait + Duration(jitter), TimerKind::kConfigurationRetry,
@@ -145,7 +185,7 @@
   if (store_version_ == 0) {
     Read(ctx);
   } else {
-    Watch(ctx);
+    Continue(ctx);
   }
 }
 
@@ -163,13 +203,18 @@
   }
   const uint64_t before = store_.Held()->version;
   Take(ctx, *snapshot, "platform");
-  if (store_.Held()->version > before) TellPeers(ctx);
+  if (store_.Held()->version == before) return;
+  PushToFollowers(ctx);
+  TellPeers(ctx);
 }
 
 void ConfigurationFollower::Take(Context& ctx, const Snapshot& snapshot,
                                  std::string_view from) {
+  const SnapshotPtr before = store_.Held();
   const auto taken = store_.Take(snapshot);
   if (taken) {
+    history_.Add(MakeDelta(*before, *store_.Held()));
+    source_asked_ = false;
     counters_.Add(FollowerCounter::kVersionsTaken);
     ctx.Shared().held = store_.Held();
     ctx.Shared().ready = true;
@@ -206,25 +251,74 @@
   ahead_ = peer;
   ahead_version_ = version;
   if (std::exchange(pull_set_, true)) return;
-  ctx.SetTimerIn(kPullDelay, TimerKind::kPullTimeout);
+  const bool watches = !relying_ && tag_ && failures_ == 0;
+  ctx.SetTimerIn(watches ? kPullDelayOfWatch : kPullDelay,
+                 TimerKind::kPullTimeout);
 }
 
 void ConfigurationFollower::PullIfBehind(Context& ctx) {
   if (ahead_version_ <= store_.Held()->version || !ahead_.IsSet()) return;
-  counters_.Add(FollowerCounter::kPeerPulls);
-  ctx.Send(ahead_, PullChanges{store_.Held()->version, true});
+  // The peer that has sent the last version most likely keeps what follows it.
+  const bool ask_source = source_.IsSet() && !source_asked_;
+  Pull(ctx, ask_source ? source_ : ahead_);
+  source_asked_ = ask_source;
   // The next word of any peer about a newer version asks again.
   ahead_version_ = 0;
 }
 
+void ConfigurationFollower::Pull(Context& ctx, Address peer) {
+  if (!peer.IsSet()) return;
+  counters_.Add(FollowerCounter::kPeerPulls);
+  ctx.Send(peer, PullChanges{store_.Held()->version, false});
+}
+
+void ConfigurationFollower::ServePull(Context& ctx, Address peer,
+                                      uint64_t version) {
+  if (version >= store_.Held()->version) return;
+  auto deltas = history_.After(version);
+  if (deltas.empty()) {
+    ctx.Send(peer, PushSnapshot{*store_.Held()});
+  } else {
+    ctx.Send(peer, PushDeltas{std::move(deltas)});
+  }
+}
+
 void ConfigurationFollower::HandlePeerMessage(
     Context& ctx, const PeerMessageReceived& received) {
+  const Address from = received.from;
   if (const auto* pull = std::get_if<PullChanges>(&received.message)) {
-    if (pull->version < store_.Held()->version) {
-      ctx.Send(received.from, PushSnapshot{*store_.Held()});
-    }
+    ServePull(ctx, from, pull->version);
   } else if (const auto* push = std::get_if<PushSnapshot>(&received.message)) {
-    Take(ctx, push->snapshot, received.from.ToString());
+    Take(ctx, push->snapshot, from.ToString());
+    source_ = from;
+  } else if (const auto* deltas = std::get_if<PushDeltas>(&received.message)) {
+    TakeDeltas(ctx, from, deltas->deltas);
+  }
+}
+
+void ConfigurationFollower::TakeDeltas(
+    Context& ctx, Address from, const std::vector<ConfigurationDelta>& deltas) {
+  for (const ConfigurationDelta& delta : deltas) {
+    const SnapshotPtr held = store_.Held();
+    if (delta.to <= held->version) continue;
+    if (delta.from != held->version) {
+      // Another relay may be about to send what is missing.
+      counters_.Add(FollowerCounter::kDeltaGaps);
+      NoteVersion(ctx, from, delta.to);
+      return;
+    }
+    counters_.Add(FollowerCounter::kDeltasTaken);
+    Take(ctx, ApplyDelta(*held, delta), from.ToString());
+    source_ = from;
+  }
+}
+
+void ConfigurationFollower::PushToFollowers(Context& ctx) {
+  if (!ctx.Shared().self.relays) return;
+  const PushDeltas push{history_.Last()};
+  for (const Address peer : ConfigurationRelays(ctx.Shared()).Followers()) {
+    counters_.Add(FollowerCounter::kDeltasPushed);
+    ctx.Send(peer, push);
   }
 }
 
--- a/Source/Plugins/configuration_follower.h
+++ b/Source/Plugins/configuration_follower.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "Base/address.h"
 #include "Base/time.h"
@@ -14,6 +15,7 @@
 #include "Kernel/plugin.h"
 #include "Plugins/configuration_rules.h"
 #include "Plugins/configuration_store.h"
+#include "Plugins/delta_history.h"
 
 namespace buckthorncart {
 
@@ -27,6 +29,9 @@
   kWatches,
   kHistoriesLost,
   kPeerPulls,
+  kDeltasTaken,
+  kDeltasPushed,
+  kDeltaGaps,
 };
 
 template <>
@@ -34,7 +39,9 @@
   static constexpr std::string_view kNames[] = {
       "followed_versions_taken_total", "followed_versions_held_back_total",
       "followed_reads_total",          "followed_watches_total",
-      "followed_histories_lost_total", "followed_peer_pulls_total"};
+      "followed_histories_lost_total", "followed_peer_pulls_total",
+      "followed_deltas_taken_total",   "followed_deltas_pushed_total",
+      "followed_delta_gaps_total"};
 };
 
 /// Row that holds the newest configuration, an encoded `Snapshot`.
@@ -46,8 +53,9 @@
   static constexpr bool kVerifyDigest = false;
 };
 
-/// Keeps a watch on the row. A daemon that the platform does not serve takes
-/// newer versions from peers. Versions only go up, and each is taken whole.
+/// Keeps a watch on the row, or relies on relays that do. A daemon that is
+/// behind takes newer versions from peers, as deltas where they keep them.
+/// Versions only go up, and each is taken whole.
 class ConfigurationFollower : public Plugin {
  public:
   void Attach(Context& ctx) override;
@@ -58,13 +66,22 @@
   void Watch(Context& ctx);
   void HandleReply(Context& ctx, const PlatformReplied& replied);
   void TakeRow(Context& ctx, const PlatformReply& reply);
-  void ScheduleWatch(Context& ctx, bool news);
+  /// Watches, or waits while relays are there.
+  void Continue(Context& ctx);
+  Duration WaitBeforeWatch(const Context& ctx, bool news) const;
+  void SetRelying(Context& ctx, bool relying);
+  void SetRelays(Context& ctx, bool relays);
   void RetryLater(Context& ctx);
   void HandleTimer(Context& ctx, const TimerFired& timer);
   void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
   /// `peer` holds `version`.
   void NoteVersion(Context& ctx, Address peer, uint64_t version);
   void PullIfBehind(Context& ctx);
+  void Pull(Context& ctx, Address peer);
+  void ServePull(Context& ctx, Address peer, uint64_t version);
+  void TakeDeltas(Context& ctx, Address from,
+                  const std::vector<ConfigurationDelta>& deltas);
+  void PushToFollowers(Context& ctx);
   void Take(Context& ctx, const Snapshot& snapshot, std::string_view from);
   void TellPeers(Context& ctx);
 
@@ -81,6 +98,15 @@
   Address ahead_;
   uint64_t ahead_version_ = 0;
   bool pull_set_ = false;
+  /// Peer that the last delta or snapshot came from.
+  Address source_;
+  /// That peer was asked last and has sent nothing newer.
+  bool source_asked_ = false;
+  DeltaHistory history_;
+  /// Versions come from relays; the platform is not watched.
+  bool relying_ = false;
+  /// This daemon is announced as a relay.
+  bool relays_ = false;
   Counters<FollowerCounter> counters_;
 };
 
--- a/Source/Wire/member.h
+++ b/Source/Wire/member.h
@@ -59,13 +59,16 @@
   uint64_t sequence = 0;
   MemberStatus status = MemberStatus::kAlive;
   BackendAnnouncement backend;
+  /// It watches the platform and passes versions of the configuration on.
+  bool relays = false;
 
   /// True if this record replaces `other` of the same address.
   bool Supersedes(const Member& other) const {
     return std::tie(incarnation, sequence, status) >
            std::tie(other.incarnation, other.sequence, other.status);
   }
-  MSGPACK_DEFINE(address, data_centre, incarnation, sequence, status, backend)
+  MSGPACK_DEFINE(address, data_centre, incarnation, sequence, status, backend,
+                 relays)
 };
 
 }  // namespace buckthorncart
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -11,6 +11,7 @@
 #include "Base/address.h"
 #include "Base/error.h"
 #include "Config/change.h"
+#include "Config/configuration_delta.h"
 #include "Config/snapshot.h"
 #include "Wire/claim_messages.h"
 #include "Wire/http.h"
@@ -57,6 +58,12 @@
   MSGPACK_DEFINE(snapshot)
 };
 
+/// Steps from one version to a newer one, oldest first.
+struct PushDeltas {
+  std::vector<ConfigurationDelta> deltas;
+  MSGPACK_DEFINE(deltas)
+};
+
 /// The sender serves too many snapshots at once.
 struct SnapshotBusy {
   uint32_t retry_after_ms = 0;
@@ -196,7 +203,7 @@
                  PullMembers, PushMembers, Call, CallRefused, CallAnswer,
                  CallFailed, CancelCall, OperatorQuery, OperatorReply,
                  CallCredit, ClaimQuery, ClaimReport, OutcomeQuery, CrashReport,
-                 RelayedWrite, RelayedReply>;
+                 RelayedWrite, RelayedReply, PushDeltas>;
 
 }  // namespace buckthorncart
 
--- /dev/null
+++ b/Tests/Configuration/relays_test.cc
@@ -0,0 +1,141 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "Config/configuration_delta.h"
+#include "Plugins/delta_history.h"
+#include "Support/followed_fleet.h"
+
+namespace buckthorncart {
+namespace {
+
+/// Nine daemons in three data centres, of which the first three, one in each,
+/// have links that are wide enough for a relay.
+constexpr uint32_t kSize = 9;
+constexpr uint32_t kRelays = 3;
+constexpr uint32_t kSlots = 4;
+constexpr size_t kIdleRoutes = 1'600;
+/// What a version may take to be in force everywhere.
+constexpr Duration kInForce = 2'500ms;
+
+struct RelayFleet : FollowedFleet {
+  RelayFleet() : FollowedFleet(kSize, kSlots, kRelays) {
+    fleet.StartAll();
+    Write(2, kIdleRoutes);
+    fleet.Advance(5s);
+  }
+  uint64_t Sum(const std::string& counter, uint32_t first, uint32_t last) {
+    uint64_t sum = 0;
+    for (uint32_t n = first; n <= last; ++n)
+      sum += fleet.At(n).Counter(counter);
+    return sum;
+  }
+};
+
+TEST_CASE("relays: a storm of large versions reaches narrow links as deltas") {
+  RelayFleet test;
+  uint64_t snapshots = 0;
+  size_t largest = 0;
+  test.fleet.SetFilter([&](Address /*from*/, const Effect& effect) {
+    const auto* message = std::get_if<SendPeer>(&effect);
+    if (message == nullptr) return true;
+    if (std::holds_alternative<PushSnapshot>(message->message)) ++snapshots;
+    largest = std::max(largest, Encode(message->message).size());
+    return true;
+  });
+  const std::string watches = "followed_watches_total";
+  const uint64_t before = test.Sum(watches, kRelays + 1, kSize);
+  for (uint64_t version = 5; version < 65; version += 3) {
+    test.Write(version, kIdleRoutes);
+    test.fleet.Advance(330ms);
+    CHECK(test.AllHold(version));
+  }
+  CHECK(test.Sum(watches, kRelays + 1, kSize) == before);
+  CHECK(snapshots == 0);
+  // A whole version has more than 100,000 bytes.
+  CHECK(largest < 2'000);
+}
+
+TEST_CASE("relays: without relays the daemons watch for themselves") {
+  RelayFleet test;
+  for (uint32_t n = 1; n <= kRelays; ++n) test.fleet.Kill(n);
+  test.fleet.Advance(15s);
+  test.Write(9, kIdleRoutes);
+  test.fleet.Advance(kInForce);
+  CHECK(test.AllHold(9));
+}
+
+TEST_CASE("relays: a data centre without one is served from another") {
+  RelayFleet test;
+  test.fleet.Kill(1);
+  test.fleet.Advance(15s);
+  const uint64_t before = test.Sum("followed_watches_total", 4, kSize);
+  test.Write(9, kIdleRoutes);
+  test.fleet.Advance(kInForce);
+  CHECK(test.AllHold(9));
+  CHECK(test.Sum("followed_watches_total", 4, kSize) == before);
+}
+
+TEST_CASE("relays: those that the platform turns away step back") {
+  RelayFleet test;
+  test.fleet.TurnAway({1, 2, 3});
+  test.fleet.Advance(25s);
+  CHECK(test.Sum("followed_watches_total", 4, kSize) > 0);
+  test.Write(9, kIdleRoutes);
+  test.fleet.Advance(kInForce);
+  CHECK(test.AllHold(9));
+}
+
+TEST_CASE("relays: a daemon that was frozen gets what it missed at once") {
+  RelayFleet test;
+  test.fleet.Freeze(7);
+  test.fleet.Advance(4s);
+  test.Write(9, kIdleRoutes);
+  test.fleet.Advance(1s);
+  test.fleet.Thaw(7);
+  test.fleet.Advance(300ms);
+  CHECK(test.Held(7) == 9);
+}
+
+TEST_CASE("relays: a delta is kept only as part of an unbroken series") {
+  DeltaHistory history;
+  history.Add({2, 5, 0, {}, {}, {}});
+  history.Add({5, 6, 0, {}, {}, {}});
+  CHECK(history.After(2).size() == 2);
+  CHECK(history.After(5).size() == 1);
+  CHECK(history.After(3).empty());
+  CHECK(history.After(6).empty());
+  history.Add({8, 9, 0, {}, {}, {}});
+  CHECK(history.After(2).empty());
+  CHECK(history.After(8).size() == 1);
+}
+
+Snapshot RandomSnapshot(uint64_t version) {
+  Snapshot snapshot;
+  snapshot.version = version;
+  const auto numbers = *rc::gen::container<std::vector<uint32_t>>(
+      rc::gen::inRange<uint32_t>(0, 12));
+  for (const uint32_t n : numbers) {
+    Route route;
+    route.name = "r" + std::to_string(n);
+    route.path = "/" + std::to_string(*rc::gen::inRange(0, 3));
+    snapshot.configuration.routes[route.name] = route;
+    Service service;
+    service.name = "s" + std::to_string(n);
+    snapshot.configuration.services[service.name] = service;
+  }
+  return snapshot;
+}
+
+TEST_CASE("relays: a delta leads to exactly the version it was made of") {
+  const bool held = rc::check([] {
+    const Snapshot from = RandomSnapshot(3);
+    const Snapshot to = RandomSnapshot(7);
+    const Snapshot made = ApplyDelta(from, MakeDelta(from, to));
+    RC_ASSERT(made.version == to.version);
+    RC_ASSERT(made.configuration == to.configuration);
+  });
+  CHECK(held);
+}
+
+}  // namespace
+}  // namespace buckthorncart
--- a/Tests/Support/followed_fleet.h
+++ b/Tests/Support/followed_fleet.h
@@ -15,7 +15,9 @@
 /// Daemons 1 to `size`, each beside a backend server of service catalogus, in
 /// three data centres by turns.
 struct FollowedFleet {
-  explicit FollowedFleet(uint32_t size, uint32_t slots = 4) {
+  /// All are relays of the configuration, or only daemons 1 to `relays`.
+  explicit FollowedFleet(uint32_t size, uint32_t slots = 4,
+                         uint32_t relays = ~0U) {
     constexpr uint32_t kDataCentres = 3;
     std::vector<KernelSettings> all;
     for (uint32_t n = 1; n <= size; ++n) {
@@ -25,6 +27,7 @@
       settings.source = ConfigurationSource::kFollowed;
       settings.choice = ChoicePolicy::kNearest;
       settings.caller_service = "catalogus";
+      settings.relays_configuration = n <= relays;
       all.push_back(settings);
     }
     fleet.AddAll(all);
@@ -35,7 +38,7 @@
   }
 
   /// A route of its own for each version, so that it shows which is in force.
-  static Snapshot Make(uint64_t version) {
+  static Snapshot Make(uint64_t version, size_t idle_routes = 0) {
     Snapshot snapshot;
     snapshot.version = version;
     snapshot.configuration.services["catalogus"].name = "catalogus";
@@ -46,10 +49,15 @@
     route.named_by_key = false;
     route.target_latency_ms = 500;
     snapshot.configuration.routes["r"] = route;
+    for (size_t i = 0; i < idle_routes; ++i) {
+      route.name = "idle" + std::to_string(i);
+      route.path = "/" + route.name + "/";
+      snapshot.configuration.routes[route.name] = route;
+    }
     return snapshot;
   }
-  void Write(uint64_t version) {
-    fleet.Put(std::string(kFollowedRow), Encode(Make(version)));
+  void Write(uint64_t version, size_t idle_routes = 0) {
+    fleet.Put(std::string(kFollowedRow), Encode(Make(version, idle_routes)));
   }
   uint64_t Held(uint32_t n) { return fleet.At(n).Version(); }
   bool AllHold(uint64_t version) {
