Add buckthorncart explain, which tells a request's story from logs

Reads log lines in both forms, also behind what collectors of logs put before them, and shows a request with those it called, in the order of time, and what each daemon believed before.

--- a/Source/Kernel/metric_help.cc
+++ b/Source/Kernel/metric_help.cc
@@ -35,6 +35,13 @@
     {"followed_histories_lost_total",
      "Watches whose history the platform had dropped, calls."},
     {"followed_peer_pulls_total", "Configurations asked of a peer, requests."},
+    {"followed_deltas_taken_total",
+     "Deltas of the configuration taken from peers, deltas."},
+    {"followed_deltas_pushed_total",
+     "Deltas of the configuration sent to daemons that rely on this one, "
+     "deltas."},
+    {"followed_delta_gaps_total",
+     "Deltas that did not fit the held version, deltas."},
     {"log_lines_dropped_total",
      "Log lines that standard output did not take, lines."},
     {"calls_by_result_total", "Calls by route, outcome and reason, calls."},
--- /dev/null
+++ b/Source/Tool/explain_command.cc
@@ -0,0 +1,110 @@
+#include "Tool/explain_command.h"
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+
+#include "Tool/output.h"
+#include "Tool/request_story.h"
+
+namespace buckthorncart {
+namespace {
+
+constexpr const char* kStandardInput = "-";
+
+void ReadLines(std::istream& in, const std::string& file, RequestStory& story) {
+  for (std::string text; std::getline(in, text);) {
+    auto line = ParseLogLine(text, file);
+    if (line) story.Add(std::move(*line));
+  }
+}
+
+/// Milliseconds since the first line of the request.
+int64_t Since(const LogLine& line, uint64_t first_ms) {
+  return static_cast<int64_t>(line.time_ms) - static_cast<int64_t>(first_ms);
+}
+
+/// Beliefs may be older; the clock starts with the request.
+uint64_t StartOf(const std::vector<LogLine>& lines) {
+  for (const LogLine& line : lines) {
+    if (!line.Field("id").empty()) return line.time_ms;
+  }
+  return lines.front().time_ms;
+}
+
+void PrintJson(const std::vector<LogLine>& lines) {
+  nlohmann::ordered_json list = nlohmann::ordered_json::array();
+  for (const LogLine& line : lines) {
+    nlohmann::ordered_json item = {{"since_ms", Since(line, StartOf(lines))},
+                                   {"daemon", line.daemon},
+                                   {"event", line.event}};
+    for (const auto& [key, value] : line.fields) item[key] = value;
+    list.push_back(std::move(item));
+  }
+  std::cout << list.dump() << '\n';
+}
+
+void PrintRows(const std::vector<LogLine>& lines) {
+  std::vector<std::vector<std::string>> rows;
+  for (const LogLine& line : lines) {
+    std::string fields;
+    for (const auto& [key, value] : line.fields) {
+      fields += (fields.empty() ? "" : " ") + key + "=" + value;
+    }
+    rows.push_back({std::to_string(Since(line, StartOf(lines))), line.daemon,
+                    line.event, fields});
+  }
+  PrintTable({"ms", "daemon", "event", "fields"}, rows);
+}
+
+}  // namespace
+
+CLI::App* ExplainCommand::Register(CLI::App& app) {
+  CLI::App* command = app.add_subcommand(
+      "explain", "Tell what the logs of daemons say of one request");
+  command->add_option("id", id_, "id of the request")->required();
+  command->add_option("file", files_, "log files; - for standard input")
+      ->required();
+  return command;
+}
+
+Result<void> ExplainCommand::Read(RequestStory& story) const {
+  for (const std::string& file : files_) {
+    if (file == kStandardInput) {
+      ReadLines(std::cin, "-", story);
+      continue;
+    }
+    std::ifstream in(file);
+    if (!in) {
+      return Fail(Errc::kInvalidSetting, "file " + file, "a readable log file",
+                  "correct the name, or write - to read standard input");
+    }
+    ReadLines(in, file, story);
+  }
+  return {};
+}
+
+ExitStatus ExplainCommand::Run(const CommandContext& context) {
+  RequestStory story(id_);
+  const Result<void> read = Read(story);
+  if (!read) {
+    PrintFailure(read.error(), context.format);
+    return ExitStatus::kUsage;
+  }
+  if (story.IsEmpty()) {
+    return ReportFailure(
+        {Errc::kUnknownObject, "request " + id_, "an id that the logs contain",
+         "add the logs of all daemons; of served calls only "
+         "two a second are logged by each"},
+        context.format);
+  }
+  const std::vector<LogLine> lines = story.Lines();
+  if (context.format == OutputFormat::kJson) {
+    PrintJson(lines);
+  } else {
+    PrintRows(lines);
+  }
+  return ExitStatus::kDone;
+}
+
+}  // namespace buckthorncart
--- /dev/null
+++ b/Source/Tool/explain_command.h
@@ -0,0 +1,28 @@
+#pragma once
+/// \file
+/// `buckthorncart explain`.
+
+#include <string>
+#include <vector>
+
+#include "Base/result.h"
+#include "Tool/command.h"
+
+namespace buckthorncart {
+
+class RequestStory;
+
+/// Tells what the logs of daemons say of one request.
+class ExplainCommand : public Command {
+ public:
+  CLI::App* Register(CLI::App& app) override;
+  ExitStatus Run(const CommandContext& context) override;
+
+ private:
+  Result<void> Read(RequestStory& story) const;
+
+  std::string id_;
+  std::vector<std::string> files_;
+};
+
+}  // namespace buckthorncart
--- a/Source/Tool/main.cc
+++ b/Source/Tool/main.cc
@@ -10,6 +10,7 @@
 #include "Tool/apply_command.h"
 #include "Tool/command.h"
 #include "Tool/daemons_command.h"
+#include "Tool/explain_command.h"
 #include "Tool/in_force_command.h"
 #include "Tool/metrics_command.h"
 #include "Tool/operation_command.h"
@@ -30,6 +31,7 @@
   commands.push_back(std::make_unique<DaemonsCommand>());
   commands.push_back(std::make_unique<ReportCommand>());
   commands.push_back(std::make_unique<MetricsCommand>());
+  commands.push_back(std::make_unique<ExplainCommand>());
   return commands;
 }
 
--- /dev/null
+++ b/Tests/Tool/request_story_test.cc
@@ -0,0 +1,71 @@
+#include "Tool/request_story.h"
+
+#include <doctest/doctest.h>
+
+#include "Tool/log_line.h"
+
+namespace buckthorncart {
+namespace {
+
+constexpr const char* kFailed =
+    "  17.31 daemon-b time_ms=2000 level=warning change=call-failed id=ab12 "
+    "reason=overloaded attempts=\"10.2.0.4:70@0+1ms:overloaded, twice\"";
+
+TEST_CASE("explain: a line is read in both forms") {
+  const auto text = ParseLogLine(kFailed, "b.log");
+  REQUIRE(text);
+  CHECK(text->time_ms == 2000);
+  CHECK(text->daemon == "daemon-b");
+  CHECK(text->event == "call-failed");
+  CHECK(text->Field("attempts") == "10.2.0.4:70@0+1ms:overloaded, twice");
+  const auto json = ParseLogLine(
+      R"({"time_ms":"7","level":"info","change":"frozen","us":"12"})", "c.log");
+  REQUIRE(json);
+  CHECK(json->daemon == "c.log");
+  CHECK(json->Field("us") == "12");
+}
+
+TEST_CASE("explain: other and cut lines are no lines of a log") {
+  CHECK(!ParseLogLine("", "f"));
+  CHECK(!ParseLogLine("terminate called", "f"));
+  CHECK(!ParseLogLine("time_ms=", "f"));
+  CHECK(!ParseLogLine("time_ms=12 level=info chan", "f"));
+  CHECK(!ParseLogLine(R"({"time_ms":"7","change)", "f"));
+  CHECK(ParseLogLine(R"(time_ms=12 change=frozen us="cut \)", "f"));
+}
+
+void Add(RequestStory& story, const std::string& text) {
+  auto line = ParseLogLine(text, "f");
+  REQUIRE(line);
+  story.Add(std::move(*line));
+}
+
+TEST_CASE("explain: a story has related requests and what was believed") {
+  RequestStory story("ab12");
+  Add(story, kFailed);
+  Add(story, "daemon-a time_ms=1990 change=call-refused id=ab12 slots=9/9");
+  Add(story, "daemon-c time_ms=1995 change=call-failed id=ab12.77 reason=x");
+  Add(story, "daemon-c time_ms=1996 change=call-failed id=ab123 reason=other");
+  Add(story, "daemon-a time_ms=100 change=version-held version=3");
+  Add(story, "daemon-a time_ms=900 change=version-held version=5");
+  Add(story, "daemon-a time_ms=2500 change=version-held version=8");
+  Add(story, "daemon-d time_ms=900 change=version-held version=9");
+  const auto lines = story.Lines();
+  REQUIRE(lines.size() == 4);
+  CHECK(lines[0].Field("version") == "5");
+  CHECK(lines[1].Field("slots") == "9/9");
+  CHECK(lines[2].Field("id") == "ab12.77");
+  CHECK(lines[3].daemon == "daemon-b");
+}
+
+TEST_CASE("explain: a called request shows the one that called it") {
+  RequestStory story("ab12.77");
+  Add(story, kFailed);
+  CHECK(story.Lines().size() == 1);
+  RequestStory other("ab12.78");
+  Add(other, "daemon-c time_ms=1995 change=call-failed id=ab12.77 reason=x");
+  CHECK(other.IsEmpty());
+}
+
+}  // namespace
+}  // namespace buckthorncart
--- a/Tests/Tool/tool_test.cc
+++ b/Tests/Tool/tool_test.cc
@@ -99,6 +99,8 @@
       {{"--timeout", "0", "daemons"}, "--timeout"},
       {{"--format", "xml", "daemons"}, "--format xml"},
       {{"--daemon", "127.0.0.1", "daemons"}, "127.0.0.1"},
+      {{"explain"}, "id is required"},
+      {{"explain", "ab12", "/no/such/log"}, "/no/such/log"},
       {{"report"}, "A subcommand is required"},
   };
   for (const Case& one : cases) {
