--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "Kernel/failure_json.h"
-#include "Plugins/call_failure.h"
+#include "Plugins/Requests/call_failure.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/admission.cc
+++ b/Source/Plugins/Admission/admission.cc
@@ -1,9 +1,9 @@
-#include "Plugins/admission.h"
+#include "Plugins/Admission/admission.h"
 
 #include <memory>
 
 #include "Kernel/plugin_registry.h"
-#include "Plugins/claim_reply.h"
+#include "Plugins/Claims/claim_reply.h"
 
 namespace buckthorncart {
 namespace {
--- a/Source/Plugins/admission.h
+++ b/Source/Plugins/Admission/admission.h
@@ -15,13 +15,13 @@
 #include "Kernel/counters.h"
 #include "Kernel/latency_histogram.h"
 #include "Kernel/plugin.h"
-#include "Plugins/backend_life.h"
-#include "Plugins/connect_gate.h"
-#include "Plugins/crash_suspects.h"
-#include "Plugins/request_rules.h"
-#include "Plugins/run_queue.h"
-#include "Plugins/service_time.h"
-#include "Plugins/shed_limit.h"
+#include "Plugins/Admission/backend_life.h"
+#include "Plugins/Admission/connect_gate.h"
+#include "Plugins/Admission/crash_suspects.h"
+#include "Plugins/Admission/run_queue.h"
+#include "Plugins/Admission/shed_limit.h"
+#include "Plugins/Requests/request_rules.h"
+#include "Plugins/Requests/service_time.h"
 #include "Wire/member.h"
 #include "Wire/peer_messages.h"
 
@@ -136,5 +136,5 @@
 
 }  // namespace buckthorncart
 
-#include "Plugins/admission_inl.h"
-#include "Plugins/admission_runs_inl.h"
+#include "Plugins/Admission/admission_inl.h"
+#include "Plugins/Admission/admission_runs_inl.h"
--- a/Source/Plugins/admission_inl.h
+++ b/Source/Plugins/Admission/admission_inl.h
@@ -8,9 +8,9 @@
 
 #include "Kernel/context.h"
 #include "Kernel/crash_register.h"
-#include "Plugins/admission.h"
-#include "Plugins/announcement_json.h"
-#include "Plugins/claim_reply.h"
+#include "Plugins/Admission/admission.h"
+#include "Plugins/Admission/announcement_json.h"
+#include "Plugins/Claims/claim_reply.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/admission_runs_inl.h
+++ b/Source/Plugins/Admission/admission_runs_inl.h
@@ -8,8 +8,8 @@
 
 #include "Kernel/context.h"
 #include "Kernel/crash_register.h"
-#include "Plugins/admission.h"
-#include "Plugins/call_failure.h"
+#include "Plugins/Admission/admission.h"
+#include "Plugins/Requests/call_failure.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/announcement_json.cc
+++ b/Source/Plugins/Admission/announcement_json.cc
@@ -1,4 +1,4 @@
-#include "Plugins/announcement_json.h"
+#include "Plugins/Admission/announcement_json.h"
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
--- a/Source/Plugins/backend_life.h
+++ b/Source/Plugins/Admission/backend_life.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-#include "Plugins/announcement_json.h"
+#include "Plugins/Admission/announcement_json.h"
 #include "Wire/member.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/crash_guard.h
+++ b/Source/Plugins/Admission/crash_guard.h
@@ -93,4 +93,4 @@
 
 }  // namespace buckthorncart
 
-#include "Plugins/crash_guard_inl.h"
+#include "Plugins/Admission/crash_guard_inl.h"
--- a/Source/Plugins/crash_guard_inl.h
+++ b/Source/Plugins/Admission/crash_guard_inl.h
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Kernel/context.h"
-#include "Plugins/crash_guard.h"
+#include "Plugins/Admission/crash_guard.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/drain.cc
+++ b/Source/Plugins/Admission/drain.cc
@@ -1,4 +1,4 @@
-#include "Plugins/drain.h"
+#include "Plugins/Admission/drain.h"
 
 #include <memory>
 #include <string>
--- a/Source/Plugins/run_queue.h
+++ b/Source/Plugins/Admission/run_queue.h
@@ -14,8 +14,8 @@
 
 #include "Base/time.h"
 #include "Config/objects.h"
-#include "Plugins/decaying_sum.h"
-#include "Plugins/request_rules.h"
+#include "Plugins/Requests/decaying_sum.h"
+#include "Plugins/Requests/request_rules.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/claim_relay.cc
+++ b/Source/Plugins/Claims/claim_relay.cc
@@ -1,4 +1,4 @@
-#include "Plugins/claim_relay.h"
+#include "Plugins/Claims/claim_relay.h"
 
 #include <memory>
 
--- a/Source/Plugins/claim_relay.h
+++ b/Source/Plugins/Claims/claim_relay.h
@@ -97,4 +97,4 @@
 
 }  // namespace buckthorncart
 
-#include "Plugins/claim_relay_inl.h"
+#include "Plugins/Claims/claim_relay_inl.h"
--- a/Source/Plugins/claim_relay_inl.h
+++ b/Source/Plugins/Claims/claim_relay_inl.h
@@ -8,7 +8,7 @@
 #include "Base/digest.h"
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
-#include "Plugins/claim_relay.h"
+#include "Plugins/Claims/claim_relay.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/claim_reply.cc
+++ b/Source/Plugins/Claims/claim_reply.cc
@@ -1,4 +1,4 @@
-#include "Plugins/claim_reply.h"
+#include "Plugins/Claims/claim_reply.h"
 
 #include <nlohmann/json.hpp>
 #include <string>
--- a/Source/Plugins/claim_row.cc
+++ b/Source/Plugins/Claims/claim_row.cc
@@ -1,4 +1,4 @@
-#include "Plugins/claim_row.h"
+#include "Plugins/Claims/claim_row.h"
 
 #include <algorithm>
 
--- a/Source/Plugins/claim_sweep.cc
+++ b/Source/Plugins/Claims/claim_sweep.cc
@@ -1,4 +1,4 @@
-#include "Plugins/claim_sweep.h"
+#include "Plugins/Claims/claim_sweep.h"
 
 #include <memory>
 #include <utility>
@@ -7,7 +7,7 @@
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
 #include "Kernel/plugin_registry.h"
-#include "Plugins/claim_row.h"
+#include "Plugins/Claims/claim_row.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/claims.cc
+++ b/Source/Plugins/Claims/claims.cc
@@ -1,4 +1,4 @@
-#include "Plugins/claims.h"
+#include "Plugins/Claims/claims.h"
 
 #include <memory>
 
--- a/Source/Plugins/claims.h
+++ b/Source/Plugins/Claims/claims.h
@@ -16,10 +16,10 @@
 #include "Kernel/context.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
-#include "Plugins/claim_circuit.h"
-#include "Plugins/claim_row.h"
-#include "Plugins/claim_rules.h"
-#include "Plugins/outcome_log.h"
+#include "Plugins/Claims/claim_circuit.h"
+#include "Plugins/Claims/claim_row.h"
+#include "Plugins/Claims/claim_rules.h"
+#include "Plugins/Claims/outcome_log.h"
 
 namespace buckthorncart {
 
@@ -150,5 +150,5 @@
 
 }  // namespace buckthorncart
 
-#include "Plugins/claims_inl.h"
-#include "Plugins/claims_outcome_inl.h"
+#include "Plugins/Claims/claims_inl.h"
+#include "Plugins/Claims/claims_outcome_inl.h"
--- a/Source/Plugins/claims_inl.h
+++ b/Source/Plugins/Claims/claims_inl.h
@@ -6,7 +6,7 @@
 
 #include "Base/overload.h"
 #include "Kernel/claim_writer.h"
-#include "Plugins/claims.h"
+#include "Plugins/Claims/claims.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/claims_outcome_inl.h
+++ b/Source/Plugins/Claims/claims_outcome_inl.h
@@ -5,9 +5,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "Plugins/call_failure.h"
-#include "Plugins/claim_reply.h"
-#include "Plugins/claims.h"
+#include "Plugins/Claims/claim_reply.h"
+#include "Plugins/Claims/claims.h"
+#include "Plugins/Requests/call_failure.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/outcome_log.cc
+++ b/Source/Plugins/Claims/outcome_log.cc
@@ -1,8 +1,8 @@
-#include "Plugins/outcome_log.h"
+#include "Plugins/Claims/outcome_log.h"
 
 #include <algorithm>
 
-#include "Plugins/claim_row.h"
+#include "Plugins/Claims/claim_row.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/change_acceptor.cc
+++ b/Source/Plugins/Configuration/change_acceptor.cc
@@ -1,4 +1,4 @@
-#include "Plugins/change_acceptor.h"
+#include "Plugins/Configuration/change_acceptor.h"
 
 #include <memory>
 
--- a/Source/Plugins/change_acceptor.h
+++ b/Source/Plugins/Configuration/change_acceptor.h
@@ -17,8 +17,8 @@
 #include "Config/configuration.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
-#include "Plugins/acceptance_rules.h"
-#include "Plugins/configuration_rows.h"
+#include "Plugins/Configuration/acceptance_rules.h"
+#include "Plugins/Configuration/configuration_rows.h"
 
 namespace buckthorncart {
 
@@ -136,6 +136,6 @@
 
 }  // namespace buckthorncart
 
-#include "Plugins/change_acceptor_inl.h"
-#include "Plugins/change_holders_inl.h"
-#include "Plugins/change_submission_inl.h"
+#include "Plugins/Configuration/change_acceptor_inl.h"
+#include "Plugins/Configuration/change_holders_inl.h"
+#include "Plugins/Configuration/change_submission_inl.h"
--- a/Source/Plugins/change_acceptor_inl.h
+++ b/Source/Plugins/Configuration/change_acceptor_inl.h
@@ -9,7 +9,7 @@
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
 #include "Kernel/url_query.h"
-#include "Plugins/change_acceptor.h"
+#include "Plugins/Configuration/change_acceptor.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/change_holders_inl.h
+++ b/Source/Plugins/Configuration/change_holders_inl.h
@@ -10,8 +10,8 @@
 
 #include "Base/digest.h"
 #include "Kernel/context.h"
-#include "Plugins/change_acceptor.h"
-#include "Plugins/operation_answers.h"
+#include "Plugins/Configuration/change_acceptor.h"
+#include "Plugins/Configuration/operation_answers.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/change_preview.cc
+++ b/Source/Plugins/Configuration/change_preview.cc
@@ -1,4 +1,4 @@
-#include "Plugins/change_preview.h"
+#include "Plugins/Configuration/change_preview.h"
 
 #include <map>
 #include <memory>
@@ -11,7 +11,7 @@
 #include "Kernel/context.h"
 #include "Kernel/plugin_registry.h"
 #include "Kernel/url_query.h"
-#include "Plugins/object_json.h"
+#include "Plugins/Operators/object_json.h"
 
 namespace buckthorncart {
 namespace {
--- a/Source/Plugins/change_submission_inl.h
+++ b/Source/Plugins/Configuration/change_submission_inl.h
@@ -13,8 +13,8 @@
 #include "Config/value_parsers.h"
 #include "Kernel/context.h"
 #include "Kernel/url_query.h"
-#include "Plugins/change_acceptor.h"
-#include "Plugins/operation_answers.h"
+#include "Plugins/Configuration/change_acceptor.h"
+#include "Plugins/Configuration/operation_answers.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/configuration_catch_up_inl.h
+++ b/Source/Plugins/Configuration/configuration_catch_up_inl.h
@@ -8,7 +8,7 @@
 
 #include "Base/digest.h"
 #include "Kernel/platform_queue.h"
-#include "Plugins/configuration_holder.h"
+#include "Plugins/Configuration/configuration_holder.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/configuration_follower.cc
+++ b/Source/Plugins/Configuration/configuration_follower.cc
@@ -1,4 +1,4 @@
-#include "Plugins/configuration_follower.h"
+#include "Plugins/Configuration/configuration_follower.h"
 
 #include <algorithm>
 #include <memory>
@@ -8,7 +8,7 @@
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
 #include "Kernel/plugin_registry.h"
-#include "Plugins/configuration_relays.h"
+#include "Plugins/Configuration/configuration_relays.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/configuration_follower.h
+++ b/Source/Plugins/Configuration/configuration_follower.h
@@ -13,9 +13,9 @@
 #include "Base/time.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
-#include "Plugins/configuration_rules.h"
-#include "Plugins/configuration_store.h"
-#include "Plugins/delta_history.h"
+#include "Plugins/Configuration/configuration_rules.h"
+#include "Plugins/Configuration/configuration_store.h"
+#include "Plugins/Configuration/delta_history.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/configuration_holder.cc
+++ b/Source/Plugins/Configuration/configuration_holder.cc
@@ -1,4 +1,4 @@
-#include "Plugins/configuration_holder.h"
+#include "Plugins/Configuration/configuration_holder.h"
 
 #include "Kernel/plugin_registry.h"
 
--- a/Source/Plugins/configuration_holder.h
+++ b/Source/Plugins/Configuration/configuration_holder.h
@@ -16,10 +16,10 @@
 #include "Kernel/context.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
-#include "Plugins/configuration_rows.h"
-#include "Plugins/configuration_store.h"
-#include "Plugins/spreading_policy.h"
-#include "Plugins/start_floor.h"
+#include "Plugins/Configuration/configuration_rows.h"
+#include "Plugins/Configuration/configuration_store.h"
+#include "Plugins/Configuration/spreading_policy.h"
+#include "Plugins/Configuration/start_floor.h"
 
 namespace buckthorncart {
 
@@ -141,6 +141,6 @@
 
 }  // namespace buckthorncart
 
-#include "Plugins/configuration_catch_up_inl.h"
-#include "Plugins/configuration_holder_inl.h"
-#include "Plugins/configuration_start_inl.h"
+#include "Plugins/Configuration/configuration_catch_up_inl.h"
+#include "Plugins/Configuration/configuration_holder_inl.h"
+#include "Plugins/Configuration/configuration_start_inl.h"
--- a/Source/Plugins/configuration_holder_inl.h
+++ b/Source/Plugins/Configuration/configuration_holder_inl.h
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "Base/digest.h"
-#include "Plugins/configuration_holder.h"
+#include "Plugins/Configuration/configuration_holder.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/configuration_rows.cc
+++ b/Source/Plugins/Configuration/configuration_rows.cc
@@ -1,4 +1,4 @@
-#include "Plugins/configuration_rows.h"
+#include "Plugins/Configuration/configuration_rows.h"
 
 #include <algorithm>
 #include <array>
--- a/Source/Plugins/configuration_store.h
+++ b/Source/Plugins/Configuration/configuration_store.h
@@ -11,7 +11,7 @@
 #include "Base/result.h"
 #include "Config/change.h"
 #include "Config/snapshot.h"
-#include "Plugins/configuration_rules.h"
+#include "Plugins/Configuration/configuration_rules.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/operation_answers.cc
+++ b/Source/Plugins/Configuration/operation_answers.cc
@@ -1,4 +1,4 @@
-#include "Plugins/operation_answers.h"
+#include "Plugins/Configuration/operation_answers.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/operation_lookup.cc
+++ b/Source/Plugins/Configuration/operation_lookup.cc
@@ -1,4 +1,4 @@
-#include "Plugins/operation_lookup.h"
+#include "Plugins/Configuration/operation_lookup.h"
 
 #include <memory>
 #include <utility>
@@ -8,8 +8,8 @@
 #include "Kernel/platform_queue.h"
 #include "Kernel/plugin_registry.h"
 #include "Kernel/url_query.h"
-#include "Plugins/configuration_rows.h"
-#include "Plugins/operation_answers.h"
+#include "Plugins/Configuration/configuration_rows.h"
+#include "Plugins/Configuration/operation_answers.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/snapshot_writer.cc
+++ b/Source/Plugins/Configuration/snapshot_writer.cc
@@ -1,4 +1,4 @@
-#include "Plugins/snapshot_writer.h"
+#include "Plugins/Configuration/snapshot_writer.h"
 
 #include <algorithm>
 #include <memory>
--- a/Source/Plugins/snapshot_writer.h
+++ b/Source/Plugins/Configuration/snapshot_writer.h
@@ -10,7 +10,7 @@
 #include "Config/snapshot.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
-#include "Plugins/configuration_rows.h"
+#include "Plugins/Configuration/configuration_rows.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/spreading_policy.cc
+++ b/Source/Plugins/Configuration/spreading_policy.cc
@@ -1,4 +1,4 @@
-#include "Plugins/spreading_policy.h"
+#include "Plugins/Configuration/spreading_policy.h"
 
 #include <algorithm>
 #include <set>
--- a/Source/Plugins/start_floor.h
+++ b/Source/Plugins/Configuration/start_floor.h
@@ -11,7 +11,7 @@
 #include "Base/address.h"
 #include "Base/digest.h"
 #include "Base/time.h"
-#include "Plugins/configuration_rules.h"
+#include "Plugins/Configuration/configuration_rules.h"
 #include "Wire/peer_messages.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/version_survey.cc
+++ b/Source/Plugins/Configuration/version_survey.cc
@@ -1,4 +1,4 @@
-#include "Plugins/version_survey.h"
+#include "Plugins/Configuration/version_survey.h"
 
 #include <memory>
 
--- a/Source/Plugins/version_survey.h
+++ b/Source/Plugins/Configuration/version_survey.h
@@ -11,7 +11,7 @@
 #include "Base/address.h"
 #include "Base/time.h"
 #include "Kernel/plugin.h"
-#include "Plugins/version_survey_rules.h"
+#include "Plugins/Configuration/version_survey_rules.h"
 
 namespace buckthorncart {
 
@@ -56,4 +56,4 @@
 
 }  // namespace buckthorncart
 
-#include "Plugins/version_survey_inl.h"
+#include "Plugins/Configuration/version_survey_inl.h"
--- a/Source/Plugins/version_survey_inl.h
+++ b/Source/Plugins/Configuration/version_survey_inl.h
@@ -10,7 +10,7 @@
 
 #include "Kernel/context.h"
 #include "Kernel/url_query.h"
-#include "Plugins/version_survey.h"
+#include "Plugins/Configuration/version_survey.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/membership.cc
+++ b/Source/Plugins/Membership/membership.cc
@@ -1,4 +1,4 @@
-#include "Plugins/membership.h"
+#include "Plugins/Membership/membership.h"
 
 #include <memory>
 
--- a/Source/Plugins/membership.h
+++ b/Source/Plugins/Membership/membership.h
@@ -16,9 +16,9 @@
 #include "Base/time.h"
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
-#include "Plugins/membership_digests.h"
-#include "Plugins/membership_rules.h"
-#include "Plugins/update_queue.h"
+#include "Plugins/Membership/membership_digests.h"
+#include "Plugins/Membership/membership_rules.h"
+#include "Plugins/Membership/update_queue.h"
 #include "Wire/datagrams.h"
 #include "Wire/member.h"
 
@@ -123,5 +123,5 @@
 
 }  // namespace buckthorncart
 
-#include "Plugins/membership_inl.h"
-#include "Plugins/membership_table_inl.h"
+#include "Plugins/Membership/membership_inl.h"
+#include "Plugins/Membership/membership_table_inl.h"
--- a/Source/Plugins/membership_digests.cc
+++ b/Source/Plugins/Membership/membership_digests.cc
@@ -1,4 +1,4 @@
-#include "Plugins/membership_digests.h"
+#include "Plugins/Membership/membership_digests.h"
 
 #include <string_view>
 
--- a/Source/Plugins/membership_inl.h
+++ b/Source/Plugins/Membership/membership_inl.h
@@ -8,7 +8,7 @@
 
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
-#include "Plugins/membership.h"
+#include "Plugins/Membership/membership.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/membership_table_inl.h
+++ b/Source/Plugins/Membership/membership_table_inl.h
@@ -10,8 +10,8 @@
 #include "Base/digest.h"
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
-#include "Plugins/membership.h"
-#include "Plugins/membership_inl.h"
+#include "Plugins/Membership/membership.h"
+#include "Plugins/Membership/membership_inl.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/peer_health.cc
+++ b/Source/Plugins/Membership/peer_health.cc
@@ -1,4 +1,4 @@
-#include "Plugins/peer_health.h"
+#include "Plugins/Membership/peer_health.h"
 
 #include <memory>
 
--- a/Source/Plugins/update_queue.cc
+++ b/Source/Plugins/Membership/update_queue.cc
@@ -1,4 +1,4 @@
-#include "Plugins/update_queue.h"
+#include "Plugins/Membership/update_queue.h"
 
 #include <algorithm>
 #include <bit>
--- a/Source/Plugins/object_json.cc
+++ b/Source/Plugins/Operators/object_json.cc
@@ -1,4 +1,4 @@
-#include "Plugins/object_json.h"
+#include "Plugins/Operators/object_json.h"
 
 #include <algorithm>
 #include <string_view>
--- a/Source/Plugins/operator_pages.cc
+++ b/Source/Plugins/Operators/operator_pages.cc
@@ -1,4 +1,4 @@
-#include "Plugins/operator_pages.h"
+#include "Plugins/Operators/operator_pages.h"
 
 #include <memory>
 
--- a/Source/Plugins/query_gather.cc
+++ b/Source/Plugins/Operators/query_gather.cc
@@ -1,4 +1,4 @@
-#include "Plugins/query_gather.h"
+#include "Plugins/Operators/query_gather.h"
 
 #include <utility>
 
--- a/Source/Plugins/show_query.cc
+++ b/Source/Plugins/Operators/show_query.cc
@@ -1,4 +1,4 @@
-#include "Plugins/show_query.h"
+#include "Plugins/Operators/show_query.h"
 
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -9,7 +9,7 @@
 #include "Kernel/context.h"
 #include "Kernel/plugin_registry.h"
 #include "Kernel/url_query.h"
-#include "Plugins/object_json.h"
+#include "Plugins/Operators/object_json.h"
 
 namespace buckthorncart {
 namespace {
--- a/Source/Plugins/show_query.h
+++ b/Source/Plugins/Operators/show_query.h
@@ -7,7 +7,7 @@
 #include "Base/address.h"
 #include "Config/statement.h"
 #include "Kernel/plugin.h"
-#include "Plugins/query_gather.h"
+#include "Plugins/Operators/query_gather.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/bounded_platform_queue.cc
+++ b/Source/Plugins/PlatformCalls/bounded_platform_queue.cc
@@ -1,4 +1,4 @@
-#include "Plugins/bounded_platform_queue.h"
+#include "Plugins/PlatformCalls/bounded_platform_queue.h"
 
 #include <memory>
 #include <utility>
--- a/Source/Plugins/burn_json.cc
+++ b/Source/Plugins/Reports/burn_json.cc
@@ -1,4 +1,4 @@
-#include "Plugins/burn_json.h"
+#include "Plugins/Reports/burn_json.h"
 
 #include <cmath>
 #include <optional>
--- a/Source/Plugins/burn_json.h
+++ b/Source/Plugins/Reports/burn_json.h
@@ -8,7 +8,7 @@
 #include <string_view>
 
 #include "Config/objects.h"
-#include "Plugins/service_objectives.h"
+#include "Plugins/Reports/service_objectives.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/burn_report.h
+++ b/Source/Plugins/Reports/burn_report.h
@@ -6,8 +6,8 @@
 
 #include "Kernel/counters.h"
 #include "Kernel/plugin.h"
-#include "Plugins/burn_json.h"
-#include "Plugins/query_gather.h"
+#include "Plugins/Operators/query_gather.h"
+#include "Plugins/Reports/burn_json.h"
 
 namespace buckthorncart {
 
@@ -42,4 +42,4 @@
 
 }  // namespace buckthorncart
 
-#include "Plugins/burn_report_inl.h"
+#include "Plugins/Reports/burn_report_inl.h"
--- a/Source/Plugins/burn_report_inl.h
+++ b/Source/Plugins/Reports/burn_report_inl.h
@@ -8,7 +8,7 @@
 
 #include "Kernel/context.h"
 #include "Kernel/url_query.h"
-#include "Plugins/burn_report.h"
+#include "Plugins/Reports/burn_report.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/burn_window.h
+++ b/Source/Plugins/Reports/burn_window.h
@@ -9,7 +9,7 @@
 #include <cstdint>
 
 #include "Base/time.h"
-#include "Plugins/burn_counts.h"
+#include "Plugins/Reports/burn_counts.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/service_objectives.h
+++ b/Source/Plugins/Reports/service_objectives.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "Kernel/context.h"
-#include "Plugins/burn_window.h"
+#include "Plugins/Reports/burn_window.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/answer_flow.cc
+++ b/Source/Plugins/Requests/answer_flow.cc
@@ -1,4 +1,4 @@
-#include "Plugins/answer_flow.h"
+#include "Plugins/Requests/answer_flow.h"
 
 #include <algorithm>
 #include <memory>
--- a/Source/Plugins/backend_choice.cc
+++ b/Source/Plugins/Requests/backend_choice.cc
@@ -1,4 +1,4 @@
-#include "Plugins/backend_choice.h"
+#include "Plugins/Requests/backend_choice.h"
 
 #include <algorithm>
 
--- a/Source/Plugins/call_failure.cc
+++ b/Source/Plugins/Requests/call_failure.cc
@@ -1,4 +1,4 @@
-#include "Plugins/call_failure.h"
+#include "Plugins/Requests/call_failure.h"
 
 #include <cstdio>
 #include <nlohmann/json.hpp>
--- a/Source/Plugins/call_plan.cc
+++ b/Source/Plugins/Requests/call_plan.cc
@@ -1,4 +1,4 @@
-#include "Plugins/call_plan.h"
+#include "Plugins/Requests/call_plan.h"
 
 #include <algorithm>
 #include <charconv>
@@ -7,7 +7,7 @@
 #include "Base/digest.h"
 #include "Kernel/context.h"
 #include "Kernel/crash_register.h"
-#include "Plugins/claim_row.h"
+#include "Plugins/Claims/claim_row.h"
 
 namespace buckthorncart {
 namespace {
--- a/Source/Plugins/peer_loads.h
+++ b/Source/Plugins/Requests/peer_loads.h
@@ -10,11 +10,11 @@
 
 #include "Base/address.h"
 #include "Base/time.h"
-#include "Plugins/backend_choice.h"
-#include "Plugins/ejection.h"
-#include "Plugins/failure_share.h"
-#include "Plugins/request_rules.h"
-#include "Plugins/service_time.h"
+#include "Plugins/Requests/backend_choice.h"
+#include "Plugins/Requests/ejection.h"
+#include "Plugins/Requests/failure_share.h"
+#include "Plugins/Requests/request_rules.h"
+#include "Plugins/Requests/service_time.h"
 #include "Wire/member.h"
 
 namespace buckthorncart {
--- a/Source/Plugins/receiving.cc
+++ b/Source/Plugins/Requests/receiving.cc
@@ -1,4 +1,4 @@
-#include "Plugins/receiving.h"
+#include "Plugins/Requests/receiving.h"
 
 #include <memory>
 
--- a/Source/Plugins/receiving.h
+++ b/Source/Plugins/Requests/receiving.h
@@ -17,11 +17,11 @@
 #include "Kernel/labelled_counter.h"
 #include "Kernel/latency_histogram.h"
 #include "Kernel/plugin.h"
-#include "Plugins/backend_choice.h"
-#include "Plugins/peer_loads.h"
-#include "Plugins/request_rules.h"
-#include "Plugins/retry_budgets.h"
-#include "Plugins/split_picker.h"
+#include "Plugins/Requests/backend_choice.h"
+#include "Plugins/Requests/peer_loads.h"
+#include "Plugins/Requests/request_rules.h"
+#include "Plugins/Requests/retry_budgets.h"
+#include "Plugins/Requests/split_picker.h"
 #include "Wire/http.h"
 #include "Wire/peer_messages.h"
 
@@ -167,5 +167,5 @@
 
 }  // namespace buckthorncart
 
-#include "Plugins/receiving_attempts_inl.h"
-#include "Plugins/receiving_inl.h"
+#include "Plugins/Requests/receiving_attempts_inl.h"
+#include "Plugins/Requests/receiving_inl.h"
--- a/Source/Plugins/receiving_attempts_inl.h
+++ b/Source/Plugins/Requests/receiving_attempts_inl.h
@@ -6,8 +6,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "Plugins/call_failure.h"
-#include "Plugins/receiving.h"
+#include "Plugins/Requests/call_failure.h"
+#include "Plugins/Requests/receiving.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/receiving_inl.h
+++ b/Source/Plugins/Requests/receiving_inl.h
@@ -5,10 +5,10 @@
 
 #include <utility>
 
-#include "Plugins/call_failure.h"
-#include "Plugins/call_plan.h"
-#include "Plugins/receiving.h"
-#include "Plugins/retry_after.h"
+#include "Plugins/Requests/call_failure.h"
+#include "Plugins/Requests/call_plan.h"
+#include "Plugins/Requests/receiving.h"
+#include "Plugins/Requests/retry_after.h"
 
 namespace buckthorncart {
 
--- a/Source/Plugins/retry_budgets.h
+++ b/Source/Plugins/Requests/retry_budgets.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-#include "Plugins/retry_budget.h"
+#include "Plugins/Requests/retry_budget.h"
 
 namespace buckthorncart {
 
--- a/Tests/Burn/burn_report_test.cc
+++ b/Tests/Burn/burn_report_test.cc
@@ -1,4 +1,4 @@
-#include "Plugins/burn_report.h"
+#include "Plugins/Reports/burn_report.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/Burn/burn_window_test.cc
+++ b/Tests/Burn/burn_window_test.cc
@@ -1,8 +1,8 @@
-#include "Plugins/burn_window.h"
+#include "Plugins/Reports/burn_window.h"
 
 #include <doctest/doctest.h>
 
-#include "Plugins/burn_json.h"
+#include "Plugins/Reports/burn_json.h"
 
 namespace buckthorncart {
 namespace {
--- a/Tests/Configuration/relays_test.cc
+++ b/Tests/Configuration/relays_test.cc
@@ -2,7 +2,7 @@
 #include <rapidcheck.h>
 
 #include "Config/configuration_delta.h"
-#include "Plugins/delta_history.h"
+#include "Plugins/Configuration/delta_history.h"
 #include "Support/followed_fleet.h"
 
 namespace buckthorncart {
--- a/Tests/Configuration/snapshot_test.cc
+++ b/Tests/Configuration/snapshot_test.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "Plugins/configuration_rows.h"
+#include "Plugins/Configuration/configuration_rows.h"
 #include "Support/configuration_plugins.h"
 #include "Support/version_watch.h"
 
--- a/Tests/Configuration/spreading_property_test.cc
+++ b/Tests/Configuration/spreading_property_test.cc
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "Plugins/configuration_rows.h"
+#include "Plugins/Configuration/configuration_rows.h"
 #include "Support/configuration_plugins.h"
 #include "Support/version_watch.h"
 
--- a/Tests/Membership/large_fleet.h
+++ b/Tests/Membership/large_fleet.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "Plugins/membership.h"
+#include "Plugins/Membership/membership.h"
 #include "Support/fake_fleet.h"
 
 namespace buckthorncart {
--- a/Tests/Membership/partition_test.cc
+++ b/Tests/Membership/partition_test.cc
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "Membership/large_fleet.h"
-#include "Plugins/version_survey.h"
+#include "Plugins/Configuration/version_survey.h"
 
 namespace buckthorncart {
 namespace {
--- a/Tests/Membership/spreading_test.cc
+++ b/Tests/Membership/spreading_test.cc
@@ -6,7 +6,7 @@
 
 #include "Kernel/spreading_profile.h"
 #include "Membership/large_fleet.h"
-#include "Plugins/configuration_holder.h"
+#include "Plugins/Configuration/configuration_holder.h"
 
 namespace buckthorncart {
 namespace {
--- a/Tests/Requests/claims_property_test.cc
+++ b/Tests/Requests/claims_property_test.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "Plugins/claims.h"
+#include "Plugins/Claims/claims.h"
 #include "Requests/order_fleet.h"
 
 namespace buckthorncart {
--- a/Tests/Requests/claims_test.cc
+++ b/Tests/Requests/claims_test.cc
@@ -1,4 +1,4 @@
-#include "Plugins/claims.h"
+#include "Plugins/Claims/claims.h"
 
 #include <doctest/doctest.h>
 
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "Plugins/claim_sweep.h"
+#include "Plugins/Claims/claim_sweep.h"
 #include "Requests/order_fleet.h"
 
 namespace buckthorncart {
--- a/Tests/Requests/crash_guard_test.cc
+++ b/Tests/Requests/crash_guard_test.cc
@@ -1,4 +1,4 @@
-#include "Plugins/crash_guard.h"
+#include "Plugins/Admission/crash_guard.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/Requests/order_fleet.h
+++ b/Tests/Requests/order_fleet.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "Plugins/claim_row.h"
+#include "Plugins/Claims/claim_row.h"
 #include "Support/fake_fleet.h"
 #include "Wire/codec.h"
 
--- a/Tests/Requests/request_fleet.h
+++ b/Tests/Requests/request_fleet.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 
-#include "Plugins/admission.h"
-#include "Plugins/receiving.h"
+#include "Plugins/Admission/admission.h"
+#include "Plugins/Requests/receiving.h"
 #include "Support/fake_fleet.h"
 
 namespace buckthorncart {
--- a/Tests/Requests/request_parts_test.cc
+++ b/Tests/Requests/request_parts_test.cc
@@ -3,13 +3,13 @@
 #include <map>
 #include <string>
 
-#include "Plugins/backend_life.h"
-#include "Plugins/connect_gate.h"
-#include "Plugins/crash_suspects.h"
-#include "Plugins/failure_share.h"
-#include "Plugins/retry_after.h"
-#include "Plugins/retry_budgets.h"
-#include "Plugins/split_picker.h"
+#include "Plugins/Admission/backend_life.h"
+#include "Plugins/Admission/connect_gate.h"
+#include "Plugins/Admission/crash_suspects.h"
+#include "Plugins/Requests/failure_share.h"
+#include "Plugins/Requests/retry_after.h"
+#include "Plugins/Requests/retry_budgets.h"
+#include "Plugins/Requests/split_picker.h"
 
 namespace buckthorncart {
 namespace {
--- a/Tests/Requests/run_queue_test.cc
+++ b/Tests/Requests/run_queue_test.cc
@@ -1,4 +1,4 @@
-#include "Plugins/run_queue.h"
+#include "Plugins/Admission/run_queue.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/Requests/silent_connection_test.cc
+++ b/Tests/Requests/silent_connection_test.cc
@@ -3,8 +3,8 @@
 #include <optional>
 #include <string>
 
-#include "Plugins/claims.h"
-#include "Plugins/peer_health.h"
+#include "Plugins/Claims/claims.h"
+#include "Plugins/Membership/peer_health.h"
 #include "Requests/order_fleet.h"
 
 namespace buckthorncart {
--- a/Tests/Support/configuration_plugins.h
+++ b/Tests/Support/configuration_plugins.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <vector>
 
-#include "Plugins/change_acceptor.h"
-#include "Plugins/configuration_holder.h"
+#include "Plugins/Configuration/change_acceptor.h"
+#include "Plugins/Configuration/configuration_holder.h"
 #include "Support/fake_daemon.h"
 
 namespace buckthorncart {
--- a/Tests/Support/followed_fleet.h
+++ b/Tests/Support/followed_fleet.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "Plugins/configuration_follower.h"
+#include "Plugins/Configuration/configuration_follower.h"
 #include "Support/fake_fleet.h"
 #include "Wire/codec.h"
 
--- a/Utilities/ChoiceBench/main.cc
+++ b/Utilities/ChoiceBench/main.cc
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "Kernel/kernel.h"
-#include "Plugins/receiving.h"
+#include "Plugins/Requests/receiving.h"
 
 namespace buckthorncart {
 namespace {
