Rely on relays also when the first read of the configuration fails

On a link of 5 Mbit/s beside traffic it takes longer than the 2 s of a call, is lost whole, and was repeated for ever, although peers had sent the version by then: a daemon that had never read did not consider relays.

Now such a daemon relies on relays as soon as it holds a version.

--- a/Source/Plugins/Configuration/configuration_follower.cc
+++ b/Source/Plugins/Configuration/configuration_follower.cc
@@ -146,11 +146,13 @@
   const bool rely = store_.Held()->version > 0 &&
                     ConfigurationRelays(ctx.Shared()).ServeSelf();
   SetRelying(ctx, rely);
-  if (!rely) {
+  if (rely) {
+    ctx.SetTimerIn(kRelayCheck, TimerKind::kConfigurationRetry, attempt_);
+  } else if (store_version_ == 0) {
+    Read(ctx);
+  } else {
     Watch(ctx);
-    return;
   }
-  ctx.SetTimerIn(kRelayCheck, TimerKind::kConfigurationRetry, attempt_);
 }
 
 void ConfigurationFollower::SetRelying(Context& ctx, bool relying) {
@@ -182,11 +184,7 @@
   }
   if (timer.kind != TimerKind::kConfigurationRetry) return;
   if (timer.argument != attempt_ || tag_) return;
-  if (store_version_ == 0) {
-    Read(ctx);
-  } else {
-    Continue(ctx);
-  }
+  Continue(ctx);
 }
 
 void ConfigurationFollower::TakeRow(Context& ctx, const PlatformReply& reply) {
--- a/Source/Plugins/Configuration/configuration_follower.h
+++ b/Source/Plugins/Configuration/configuration_follower.h
@@ -66,7 +66,7 @@
   void Watch(Context& ctx);
   void HandleReply(Context& ctx, const PlatformReplied& replied);
   void TakeRow(Context& ctx, const PlatformReply& reply);
-  /// Watches, or waits while relays are there.
+  /// Reads or watches, or waits while relays are there.
   void Continue(Context& ctx);
   Duration WaitBeforeWatch(const Context& ctx, bool news) const;
   void SetRelying(Context& ctx, bool relying);
--- a/Tests/Configuration/relays_test.cc
+++ b/Tests/Configuration/relays_test.cc
@@ -85,6 +85,22 @@
   CHECK(test.AllHold(9));
 }
 
+TEST_CASE("relays: a restart whose reads fail goes on without them") {
+  RelayFleet test;
+  test.fleet.TurnAway({7});
+  test.fleet.Restart(7);
+  test.fleet.Advance(5s);
+  CHECK(test.Held(7) == 2);
+  // A read of a large version that takes too long is lost whole; repeated, it
+  // keeps a narrow link full for good (kill_all after big_config).
+  const uint64_t reads = test.fleet.At(7).Counter("followed_reads_total");
+  test.fleet.Advance(10s);
+  CHECK(test.fleet.At(7).Counter("followed_reads_total") == reads);
+  test.Write(9, kIdleRoutes);
+  test.fleet.Advance(kInForce);
+  CHECK(test.Held(7) == 9);
+}
+
 TEST_CASE("relays: a daemon that was frozen gets what it missed at once") {
   RelayFleet test;
   test.fleet.Freeze(7);
