End earlier starts of a backend server by a farewell without a start

Cause: a daemon that had just restarted heard the deregistration of its backend server before any heartbeat. Ruled out: a loss of the acknowledgement; it had been given. Change: a farewell that names no start ends every start of that id up to its arrival. Two tests; the first failed before.

--- a/Source/Plugins/Admission/admission_inl.h
+++ b/Source/Plugins/Admission/admission_inl.h
@@ -92,7 +92,7 @@
     return;
   }
   const std::string previous_id = backend_.id;
-  if (!announcement_filter_.Accept(*announcement)) {
+  if (!announcement_filter_.Accept(*announcement, ctx.WallMilliseconds())) {
     ctx.AnswerJson(request.request, 200, "{\"result\":\"outdated\"}\n");
     return;
   }
--- a/Tests/Requests/request_parts_test.cc
+++ b/Tests/Requests/request_parts_test.cc
@@ -15,6 +15,8 @@
 namespace {
 
 ReceivedAnnouncement Announce(const std::string& id, uint64_t started_ms,
+constexpr uint64_t kWallMs = 1'700'000'000'000;
+
                               uint64_t sequence,
                               BackendState state = BackendState::kReady) {
   ReceivedAnnouncement announcement;
@@ -27,28 +29,45 @@
 
 TEST_CASE("backend life: an announcement of an earlier start is ignored") {
   AnnouncementFilter filter;
-  CHECK(filter.Accept(Announce("a", 100, 7)));
-  CHECK(filter.Accept(Announce("b", 200, 1)));
+  CHECK(filter.Accept(Announce("a", 100, 7), kWallMs));
+  CHECK(filter.Accept(Announce("b", 200, 1), kWallMs));
   // Delayed by a partition, it arrives after the end of its sender.
-  CHECK_FALSE(filter.Accept(Announce("a", 100, 8)));
-  CHECK_FALSE(filter.Accept(Announce("b", 200, 1)));
-  CHECK(filter.Accept(Announce("b", 200, 2)));
+  CHECK_FALSE(filter.Accept(Announce("a", 100, 8), kWallMs));
+  CHECK_FALSE(filter.Accept(Announce("b", 200, 1), kWallMs));
+  CHECK(filter.Accept(Announce("b", 200, 2), kWallMs));
 }
 
 TEST_CASE("backend life: the same id can start again") {
   AnnouncementFilter filter;
-  CHECK(filter.Accept(Announce("a", 100, 9, BackendState::kDraining)));
-  CHECK_FALSE(filter.Accept(Announce("a", 100, 10)));
-  CHECK(filter.Accept(Announce("a", 300, 1)));
+  CHECK(filter.Accept(Announce("a", 100, 9, BackendState::kDraining), kWallMs));
+  CHECK_FALSE(filter.Accept(Announce("a", 100, 10), kWallMs));
+  CHECK(filter.Accept(Announce("a", 300, 1), kWallMs));
 }
 
 TEST_CASE(
     "backend life: the end of another backend server does not end this one") {
   AnnouncementFilter filter;
-  CHECK(filter.Accept(Announce("b", 200, 1)));
-  CHECK_FALSE(filter.Accept(Announce("a", 0, 0, BackendState::kAbsent)));
-  CHECK(filter.Accept(Announce("b", 0, 0, BackendState::kAbsent)));
-  CHECK_FALSE(filter.Accept(Announce("b", 200, 1)));
+  CHECK(filter.Accept(Announce("b", 200, 1), kWallMs));
+  CHECK_FALSE(
+      filter.Accept(Announce("a", 0, 0, BackendState::kAbsent), kWallMs));
+  CHECK(filter.Accept(Announce("b", 0, 0, BackendState::kAbsent), kWallMs));
+  CHECK_FALSE(filter.Accept(Announce("b", 200, 1), kWallMs));
+}
+
+// A daemon that has just been restarted hears the farewell of its backend
+// server before any heartbeat; the heartbeat that was under way follows.
+TEST_CASE("backend life: a farewell without a start ends the start before it") {
+  AnnouncementFilter filter;
+  CHECK(filter.Accept(Announce("a", 0, 0, BackendState::kAbsent), kWallMs));
+  CHECK_FALSE(filter.Accept(Announce("a", kWallMs - 1, 12), kWallMs + 2));
+  CHECK_FALSE(filter.Accept(Announce("a", 0, 13), kWallMs + 2));
+  CHECK(filter.Accept(Announce("a", kWallMs + 1, 1), kWallMs + 3));
+}
+
+TEST_CASE("backend life: a farewell does not end another backend server") {
+  AnnouncementFilter filter;
+  CHECK(filter.Accept(Announce("a", 0, 0, BackendState::kAbsent), kWallMs));
+  CHECK(filter.Accept(Announce("b", kWallMs - 1, 12), kWallMs + 2));
 }
 
 TEST_CASE(
