Bound the bytes of HTTP framing that never ends

Ruled out: endless heads and start lines, which were bounded already. Change: what is incomplete after the head is bounded like the head; 16 interim answers at most; foreign bodies are dropped as they arrive, 4 MB in all. Not done: the same over real sockets in a test of the whole daemon.

--- a/Source/Net/http_connection.h
+++ b/Source/Net/http_connection.h
@@ -28,6 +28,7 @@
     const std::string& name = client_.settings_.request_id_header;
     request_id_ = name.empty() ? "" : FindHeader(request.headers, name);
     method_ = request.method;
+    discarded_bytes_ = 0;
     reader_.Begin(method_);
     stream_->Write(FormatRequest(request, to_.ToString()));
   }
@@ -99,6 +100,8 @@
   /// Idle limit for requests that must not run twice: such a request cannot be
   /// retried if the peer closes the connection while it is being sent.
   static constexpr Duration kNonRepeatableIdleLimit = 1s;
+  /// Bytes of answers to earlier requests that are read for one request.
+  static constexpr size_t kMaxDiscardedBytes = 4U << 20U;
 
   bool BelongsToRequest(const Headers& headers) const {
     if (request_id_.empty()) return true;
@@ -116,8 +119,7 @@
         return;
       }
       if (reader_.HasHead() && !BelongsToRequest(reader_.Peek())) {
-        if (state == ReadState::kPartial) return;
-        DiscardAnswer();
+        if (!DiscardAnswer(state)) return;
         continue;
       }
       if (state == ReadState::kPartial) {
@@ -128,13 +130,21 @@
     }
   }
 
-  /// Discards a complete answer that belongs to an earlier request.
-  void DiscardAnswer() {
+  /// Discards what has been read of an answer that belongs to an earlier
+  /// request. Returns true if the next answer may follow.
+  bool DiscardAnswer(ReadState state) {
+    discarded_bytes_ += reader_.TakeBody().size();
+    if (discarded_bytes_ > kMaxDiscardedBytes) {
+      Fail();
+      return false;
+    }
+    if (state == ReadState::kPartial) return false;
     if (!reader_.KeepsAlive()) {
       Fail();
-      return;
+      return false;
     }
     reader_.Begin(method_);
+    return true;
   }
 
   void DeliverAvailable() {
@@ -201,6 +211,7 @@
   std::string request_id_;
   std::string method_;
   bool head_delivered_ = false;
+  size_t discarded_bytes_ = 0;
   Time idle_since_{};
   Duration idle_limit_ = kDefaultIdleLimit;
 };
--- a/Source/Wire/http_answer_reader.cc
+++ b/Source/Wire/http_answer_reader.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr unsigned kFirstFinalStatus = 200;
+/// Maximum number of interim answers before a final one.
+constexpr uint32_t kMaxInterimAnswers = 16;
 
 }  // namespace
 
@@ -16,6 +18,7 @@
   explicit Parser(const HttpLimits& limits) : messages(limits) {}
   MessageParser<false> messages;
   bool is_head_request = false;
+  uint32_t interim_answers = 0;
   bool head_taken = false;
   bool headers_parsed = false;
   Headers headers;
@@ -30,6 +33,7 @@
   parser_->messages.Reset();
   parser_->head_taken = false;
   parser_->headers_parsed = false;
+  parser_->interim_answers = 0;
   parser_->is_head_request = method == "HEAD";
 }
 
@@ -45,6 +49,8 @@
     const bool interim = messages.Get().is_header_done() &&
                          messages.Get().get().result_int() < kFirstFinalStatus;
     if (state != ReadState::kWhole || !interim) return state;
+    if (++parser_->interim_answers > kMaxInterimAnswers)
+      return ReadState::kMalformed;
     messages.Reset();
   }
 }
@@ -77,11 +83,15 @@
            std::string(MessageParser<false>::ToView(length))});
     }
   }
-  part.body = std::exchange(message.body(), {});
+  part.body = TakeBody();
   if (parser_->messages.Get().is_done()) part.end = AnswerEnd::kComplete;
   return part;
 }
 
+std::string HttpAnswerReader::TakeBody() {
+  return std::exchange(parser_->messages.Get().get().body(), {});
+}
+
 size_t HttpAnswerReader::BodyBytes() const {
   const auto* beast_parser = parser_->messages.Current();
   return beast_parser == nullptr ? 0 : beast_parser->get().body().size();
--- a/Source/Wire/http_answer_reader.h
+++ b/Source/Wire/http_answer_reader.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "Wire/http.h"
@@ -36,6 +37,9 @@
   /// part has the status and the headers. The last part has the
   /// end `kComplete`.
   AnswerPart Take();
+  /// Removes and returns the body bytes that have been parsed. The head must
+  /// have been parsed.
+  std::string TakeBody();
   /// Returns the number of body bytes that have been parsed but not taken.
   size_t BodyBytes() const;
   /// Returns true if the buffer contains bytes after the answer.
--- a/Source/Wire/message_parser.h
+++ b/Source/Wire/message_parser.h
@@ -67,9 +67,11 @@
     Compact();
     if (parser_ && parser_->is_done()) return ReadState::kWhole;
     const bool started = HasRest() || (parser_ && parser_->got_some());
-    if (HasRest() && buffer_.size() - offset_ > limits_.head_bytes &&
-        !Get().is_header_done()) {
-      return ReadState::kHeadTooLarge;
+    if (buffer_.size() > limits_.head_bytes) {
+      // After the head, only the size of a chunk or the trailer can be
+      // incomplete in the buffer.
+      return Get().is_header_done() ? ReadState::kMalformed
+                                    : ReadState::kHeadTooLarge;
     }
     return started ? ReadState::kPartial : ReadState::kIdle;
   }
--- a/Tests/Wire/http_reader_test.cc
+++ b/Tests/Wire/http_reader_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Wire/http_answer_reader.h"
@@ -147,5 +148,75 @@
   CHECK(FindHeader(read.headers, "host") == "h.example");
 }
 
+/// Bytes that begin an answer and, repeated, never end it.
+struct EndlessAnswer {
+  std::string name;
+  std::string begin;
+  std::string repeated;
+};
+
+const EndlessAnswer kEndlessAnswers[] = {
+    {"header lines", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+    {"one header line", "HTTP/1.1 200 OK\r\nX-A: ", "bbbbbbbb"},
+    {"start line", "HTTP/1.1 200 ", "OOOOOOOO"},
+    {"garbage", "", "\x01\x02\x03\x04"},
+    {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+    {"chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "00000000"},
+    {"chunk extension",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a=bbbbbb;"},
+    {"trailer lines",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+     "X-A: b\r\n"},
+};
+
+// A backend server in trouble sends bytes that are no answer until the caller
+// closes.
+TEST_CASE("answer reader: framing without end is rejected at a bounded size") {
+  constexpr size_t kMaxBytes = 64U << 10U;
+  for (const EndlessAnswer& endless : kEndlessAnswers) {
+    CAPTURE(endless.name);
+    HttpAnswerReader reader({});
+    reader.Begin("GET");
+    reader.Append(endless.begin);
+    ReadState state = reader.Advance();
+    size_t sent = endless.begin.size();
+    while (sent < kMaxBytes &&
+           (state == ReadState::kIdle || state == ReadState::kPartial)) {
+      reader.Append(endless.repeated);
+      sent += endless.repeated.size();
+      state = reader.Advance();
+    }
+    CHECK(sent < kMaxBytes);
+    CHECK(state != ReadState::kWhole);
+  }
+}
+
+TEST_CASE("request reader: framing without end is rejected at a bounded size") {
+  constexpr size_t kMaxBytes = 64U << 10U;
+  const std::string head =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> endless_requests[] = {
+      {"GET / HTTP/1.1\r\n", "X-A: b\r\n"},
+      {"GET /", "aaaaaaaa"},
+      {head, "00000000"},
+      {head + "1;", "a=bbbbbb;"},
+      {head + "0\r\n", "X-A: b\r\n"}};
+  for (const auto& [begin, repeated] : endless_requests) {
+    CAPTURE(begin);
+    HttpRequestReader reader({});
+    reader.Append(begin);
+    ReadState state = reader.Advance();
+    size_t sent = begin.size();
+    while (sent < kMaxBytes && state == ReadState::kPartial) {
+      reader.Append(repeated);
+      sent += repeated.size();
+      state = reader.Advance();
+    }
+    CHECK(sent < kMaxBytes);
+    CHECK(state != ReadState::kWhole);
+  }
+}
+
 }  // namespace
 }  // namespace buckthorncart
