Free the slot of an unrepeatable run whose answer was lost

Cause: a run that must not be repeated was never cancelled, so that a lost answer on a connection that stays open took a slot of its backend server for good (found by reading; the test failed first: a call 2 s later was refused). Change: it is cancelled 500 ms after its deadline, when the backend server has stopped working on it. Runs with an idempotency key, whose outcome is kept for later, are not cancelled, as before. Conclusion: request_tests, 'admission: the slot of a run without an answer'.

--- a/Source/Plugins/Admission/admission_runs_inl.h
+++ b/Source/Plugins/Admission/admission_runs_inl.h
@@ -13,6 +13,9 @@
 
 namespace buckthorncart {
 
+/// Time after its deadline in which an unrepeatable run can still answer.
+inline constexpr Duration kOutcomeGrace = 500ms;
+
 template <RequestRules Rules>
 void Admission<Rules>::HandleAnswer(Context& ctx,
                                     const BackendAnswered& answered) {
@@ -155,12 +158,19 @@
   Refuse(ctx, key, Errc::kDeadlineExpired);
 }
 
-/// Cancels a started run after its deadline. An unrepeatable run continues, so
-/// that its outcome becomes known.
+/// Cancels a started run after its deadline. An unrepeatable run gets some more
+/// time, in which its outcome can become known; one with an idempotency key,
+/// whose outcome is kept for later, is not cancelled.
 template <RequestRules Rules>
 void Admission<Rules>::CancelExpiredRun(Context& ctx, uint64_t run_id) {
   Run& run = runs_.at(run_id);
-  if (!Rules::kCancelExpired || !run.call.repeatable) return;
+  if (!Rules::kCancelExpired || !run.call.idempotency_key.empty()) return;
+  const Time cancel_at =
+      run.deadline + (run.call.repeatable ? 0ms : kOutcomeGrace);
+  if (ctx.Now() < cancel_at) {
+    ctx.SetTimerIn(cancel_at - ctx.Now(), TimerKind::kQueueDeadline, run_id);
+    return;
+  }
   counters_.Add(AdmissionCounter::kCancelled);
   LogFailedRun(ctx, run, "deadline", 0);
   ctx.Emit(CancelBackendCall{run_id});
--- a/Tests/Requests/admission_test.cc
+++ b/Tests/Requests/admission_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "Requests/request_fleet.h"
+#include "Support/followed_fleet.h"
 
 namespace buckthorncart {
 namespace {
@@ -75,6 +76,35 @@
   CHECK(CancelledAfterDeadline<NoCancel>() == 0);
 }
 
+/// One daemon with a backend server of one slot, which loses the answer to an
+/// unrepeatable call. Returns whether a later call is served.
+bool IsServedAfterLostAnswer(Duration later) {
+  FollowedFleet test(1, 1);
+  test.fleet.StartAll();
+  Snapshot snapshot = FollowedFleet::MakeSnapshot(2);
+  snapshot.configuration.routes["r"].repeatable = false;
+  test.fleet.Put(std::string(kFollowedRow), Encode(snapshot));
+  test.fleet.Advance(3s);
+  HttpRequest request{
+      "POST", "/v2/x", {{std::string(header::kDeadline), "300"}}, ""};
+  test.fleet.Behaviours()[1].never_answers = true;
+  test.fleet.Call(1, request);
+  test.fleet.Advance(later);
+  test.fleet.Behaviours()[1].never_answers = false;
+  // Long enough for the run time that the lost answer has made likely.
+  request.headers = {{std::string(header::kDeadline), "2000"}};
+  const uint64_t call = test.fleet.Call(1, request);
+  test.fleet.Advance(10ms);
+  constexpr uint16_t kHttpOk = 200;
+  return test.fleet.CallerAnswers()[call].status == kHttpOk;
+}
+
+// Each lost answer to an unrepeatable request must not take a slot for good.
+TEST_CASE("admission: the slot of a run without an answer is used again") {
+  CHECK_FALSE(IsServedAfterLostAnswer(200ms));
+  CHECK(IsServedAfterLostAnswer(2s));
+}
+
 template <RequestRules Rules>
 bool ShedIsRetried() {
   RequestFleet test(PluginsWith<Rules>, {1, 2, 4});
