Stop passing on member records that others send back

Change: a duplicate that arrives takes four transmissions off (rumor mongering with feedback, Demers et al. 1987); digests repair what is missed, as before. Conclusion: membership_tests as before; two new tests of the queue.

--- a/Source/Plugins/Membership/membership_table_inl.h
+++ b/Source/Plugins/Membership/membership_table_inl.h
@@ -123,6 +123,7 @@
 template <MembershipRules Rules>
 void Membership<Rules>::Merge(Context& ctx, const Member& member,
                               bool disseminate) {
+  if (disseminate) updates_.RecordDuplicate(member);
   if (member.address == ctx.Settings().self) {
     RefuteIfNeeded(ctx, member);
     return;
--- a/Source/Plugins/Membership/update_queue.cc
+++ b/Source/Plugins/Membership/update_queue.cc
@@ -10,6 +10,8 @@
 
 /// Number of times a record is sent for each doubling of the fleet size.
 constexpr uint32_t kTransmissionsFactor = 3;
+/// Number of transmissions that a duplicate makes unnecessary.
+constexpr uint32_t kDuplicateWeight = 4;
 
 }  // namespace
 
@@ -19,6 +21,19 @@
                               kTransmissionsFactor * doublings};
 }
 
+void UpdateQueue::RecordDuplicate(const Member& member) {
+  const auto it = entries_.find(member.address);
+  if (it == entries_.end()) return;
+  Entry& entry = it->second;
+  if (entry.member.Supersedes(member) || member.Supersedes(entry.member))
+    return;
+  if (entry.remaining > kDuplicateWeight) {
+    entry.remaining -= kDuplicateWeight;
+  } else {
+    entries_.erase(it);
+  }
+}
+
 std::vector<Member> UpdateQueue::Take(size_t max_bytes) {
   std::vector<Entry*> order;
   order.reserve(entries_.size());
--- a/Tests/Membership/membership_test.cc
+++ b/Tests/Membership/membership_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Membership/large_fleet.h"
+#include "Plugins/Membership/update_queue.h"
 
 namespace buckthorncart {
 namespace {
@@ -265,5 +266,40 @@
   CHECK(large <= kMaxControlBytesPerSecond);
 }
 
+// After the start of a large fleet every daemon has a record of every other one
+// to pass on; records that have reached all must not fill each probe for long.
+TEST_CASE(
+    "update queue: records that others know already are sent less often") {
+  constexpr size_t kFleetSize = 195;
+  constexpr size_t kMaxBytes = 1'000;
+  const auto transmissions = [](bool duplicates) {
+    UpdateQueue queue;
+    Member member;
+    member.address = Address{1, 1};
+    member.sequence = 3;
+    queue.Add(member, kFleetSize);
+    int n = 0;
+    while (!queue.Take(kMaxBytes).empty()) {
+      ++n;
+      if (duplicates) queue.RecordDuplicate(member);
+    }
+    return n;
+  };
+  CHECK(transmissions(false) == 24);
+  CHECK(transmissions(true) <= 5);
+}
+
+TEST_CASE("update queue: an older copy is no duplicate") {
+  UpdateQueue queue;
+  Member member;
+  member.address = Address{1, 1};
+  member.sequence = 3;
+  queue.Add(member, 1);
+  Member older = member;
+  older.sequence = 2;
+  for (int i = 0; i < 10; ++i) queue.RecordDuplicate(older);
+  CHECK_FALSE(queue.Empty());
+}
+
 }  // namespace
 }  // namespace buckthorncart
