Let two daemons a data centre watch the platform, and check that it answers

Ruled out: keep-alive probes; the connection stays up, the platform is silent. Change: two relays a data centre by width of link; missing ones are replaced one by one; the first relay of all watches for 1 s at a time and says by its record when it gets no answer, so that the others repeat their watches; a retry does not wait; whoever reaches the platform first after an outage relays at once.

--- a/Source/Plugins/Configuration/configuration_follower.cc
+++ b/Source/Plugins/Configuration/configuration_follower.cc
@@ -24,7 +24,7 @@
 /// Delay after the first failed platform call; doubles with each further
 /// failure, `kMaxRetryDoublings` times at most.
 constexpr Duration kInitialRetryDelay = 100ms;
-constexpr uint32_t kMaxRetryDoublings = 3;
+constexpr uint32_t kMaxRetryDoublings = 2;
 /// Delay before pulling a version that a peer has reported, within which a
 /// relay usually delivers it.
 constexpr Duration kPullDelay = 250ms;
@@ -37,10 +37,16 @@
 constexpr size_t kLargeRouteCount = 600;
 /// Interval at which a daemon checks that its relays are still available.
 constexpr Duration kRelayCheckInterval = 500ms;
-/// Time for a newly started daemon to discover relays before it opens its own
-/// watch.
+/// Wait time of a watch by the first relay, which notices that the platform
+/// has become silent and thereby lets the other relays notice.
+constexpr uint32_t kCheckingWatchWaitMs = 1'000;
+/// Time for a newly started daemon to discover other daemons before it decides
+/// whether to watch the platform. One that cannot be a relay waits until those
+/// that can have decided.
+constexpr Duration kMemberDiscoveryTime = 500ms;
 constexpr Duration kRelayDiscoveryTime = 1s;
-/// Consecutive failed platform calls after which a daemon stops being a relay.
+/// Consecutive failed platform calls after which a relay that is not the first
+/// one stops being one.
 constexpr uint32_t kFailuresToStopRelaying = 2;
 /// Number of peers that receive a hint about a version read from the platform.
 constexpr size_t kHintedPeers = 3;
@@ -90,12 +96,33 @@
     RecordPeerVersion(ctx, datagram->from, VersionIn(datagram->message));
   } else if (const auto* message = std::get_if<PeerMessageReceived>(&event)) {
     HandlePeerMessage(ctx, *message);
+  } else if (const auto* changed = std::get_if<MemberChanged>(&event)) {
+    HandleMemberChanged(ctx, changed->address);
   }
 }
 
+/// Repeats a watch that may have been lost: a relay that has lost the platform
+/// says so by its member record.
+void ConfigurationFollower::HandleMemberChanged(Context& ctx, Address address) {
+  const auto it = ctx.Shared().members.find(address);
+  if (it == ctx.Shared().members.end()) return;
+  const Member& member = it->second;
+  if (member.relays) {
+    known_relays_.insert(address);
+    return;
+  }
+  if (known_relays_.erase(address) == 0) return;
+  const bool lost_platform = member.status == MemberStatus::kAlive;
+  const bool watch_is_old = is_relay_ && watching_ && tag_ &&
+                            ctx.Now() - sent_at_ >= kRelayCheckInterval;
+  if (lost_platform && watch_is_old) Read(ctx);
+}
+
 void ConfigurationFollower::Read(Context& ctx) {
   counters_.Add(FollowerCounter::kReads);
   ++attempt_;
+  watching_ = false;
+  sent_at_ = ctx.Now();
   platform_version_ = 0;
   tag_ = ctx.Shared().platform->Submit(ctx, PlatformPriority::kOperator,
                                        ReadRows{{std::string(kFollowedRow)}});
@@ -105,22 +132,30 @@
 void ConfigurationFollower::Watch(Context& ctx) {
   counters_.Add(FollowerCounter::kWatches);
   ++attempt_;
+  watching_ = true;
+  sent_at_ = ctx.Now();
   tag_ = ctx.Shared().platform->Submit(
       ctx, PlatformPriority::kOperator,
-      WatchRow{std::string(kFollowedRow), platform_version_,
-               ctx.Settings().watch_wait_ms});
+      WatchRow{std::string(kFollowedRow), platform_version_, WatchWaitMs(ctx)});
   if (!tag_) RetryLater(ctx);
 }
 
+uint32_t ConfigurationFollower::WatchWaitMs(Context& ctx) const {
+  // A platform that does not answer is not given a long time.
+  if (failures_ > 0) return 0;
+  const uint32_t wait_ms = ctx.Settings().watch_wait_ms;
+  const bool checks = ConfigurationRelays(ctx.Shared()).IsFirstRelay();
+  return checks ? std::min(wait_ms, kCheckingWatchWaitMs) : wait_ms;
+}
+
 void ConfigurationFollower::HandleReply(Context& ctx,
                                         const PlatformReplied& replied) {
   if (!tag_ || replied.tag != *tag_) return;
   tag_.reset();
   switch (replied.reply.status) {
     case PlatformStatus::kOk:
-      failures_ = 0;
       last_reply_at_ = ctx.Now();
-      SetIsRelay(ctx, ctx.Settings().relays_configuration);
+      RecordSuccess(ctx);
       ApplyRow(ctx, replied.reply);
       ctx.SetTimerIn(DelayBeforeNextRequest(ctx, !replied.reply.rows.empty()),
                      TimerKind::kConfigurationRetry, attempt_);
@@ -136,10 +171,26 @@
   }
 }
 
+/// The first daemons to reach the platform again after an outage become relays
+/// at once, so that the version that they have just read reaches the others.
+void ConfigurationFollower::RecordSuccess(Context& ctx) {
+  const bool recovered = std::exchange(failures_, 0) > 0;
+  const bool can_relay = ctx.Settings().relays_configuration;
+  if (recovered && can_relay &&
+      ConfigurationRelays(ctx.Shared()).AreMissing(can_relay)) {
+    SetIsRelay(ctx, true);
+  }
+}
+
 Duration ConfigurationFollower::DelayBeforeNextRequest(const Context& ctx,
                                                        bool row_changed) const {
-  if (ctx.Settings().relays_configuration) return Duration::zero();
-  if (platform_version_ == 0) return kRelayDiscoveryTime;
+  const bool can_relay = ctx.Settings().relays_configuration;
+  // The first version of all goes to every daemon at once, so that whoever can
+  // relay it watches for it.
+  const bool waits_for_first = can_relay && store_.Held()->version == 0;
+  if (platform_version_ == 0 && !is_relay_ && !waits_for_first)
+    return can_relay ? kMemberDiscoveryTime : kRelayDiscoveryTime;
+  if (can_relay) return Duration::zero();
   // The pause combines successive versions into one transfer, since each costs
   // the same regardless of the size of its change.
   const bool large =
@@ -148,10 +199,21 @@
 }
 
 void ConfigurationFollower::RequestOrUseRelays(Context& ctx) {
-  const bool use_relays = store_.Held()->version > 0 &&
-                          ConfigurationRelays(ctx.Shared()).IsServedByRelay();
+  const bool can_relay = ctx.Settings().relays_configuration;
+  const ConfigurationRelays relays(ctx.Shared());
+  const bool ask_platform =
+      relays.MustAskPlatform(can_relay, checks_without_relays_);
+  const bool use_relays = !ask_platform;
+  checks_without_relays_ =
+      relays.AreMissing(can_relay) ? checks_without_relays_ + 1 : 0;
   SetUsesRelays(ctx, use_relays);
+  if (use_relays || !can_relay) {
+    SetIsRelay(ctx, false);
+  } else if (failures_ == 0 && platform_version_ > 0) {
+    SetIsRelay(ctx, true);
+  }
   if (use_relays) {
+    if (store_.Held()->version == 0) Pull(ctx, relays.LocalRelay());
     ctx.SetTimerIn(kRelayCheckInterval, TimerKind::kConfigurationRetry,
                    attempt_);
   } else if (platform_version_ == 0) {
@@ -175,7 +237,8 @@
 
 void ConfigurationFollower::RetryLater(Context& ctx) {
   const uint32_t doublings = std::min(failures_++, kMaxRetryDoublings);
-  if (failures_ >= kFailuresToStopRelaying) SetIsRelay(ctx, false);
+  const bool is_first = ConfigurationRelays(ctx.Shared()).IsFirstRelay();
+  if (is_first || failures_ >= kFailuresToStopRelaying) SetIsRelay(ctx, false);
   const Duration wait = kInitialRetryDelay * (1U << doublings);
   const auto jitter = ctx.RandomBelow(static_cast<uint32_t>(wait.count()) / 2);
   ctx.SetTimerIn(wait + Duration(jitter), TimerKind::kConfigurationRetry,
@@ -262,9 +325,13 @@
 
 void ConfigurationFollower::PullIfBehind(Context& ctx) {
   if (newer_version_ <= store_.Held()->version || !newer_peer_.IsSet()) return;
-  // The peer that sent the last version most likely retains the following ones.
-  const bool query_source = last_source_.IsSet() && !source_queried_;
-  Pull(ctx, query_source ? last_source_ : newer_peer_);
+  // The peer that sent the last version most likely retains the following ones,
+  // and a relay of this data centre most likely has the first one.
+  const Address source = last_source_.IsSet()
+                             ? last_source_
+                             : ConfigurationRelays(ctx.Shared()).LocalRelay();
+  const bool query_source = source.IsSet() && !source_queried_;
+  Pull(ctx, query_source ? source : newer_peer_);
   source_queried_ = query_source;
   // The next report of a newer version from any peer schedules another pull.
   newer_version_ = 0;
@@ -318,7 +385,7 @@
 }
 
 void ConfigurationFollower::PushToFollowers(Context& ctx) {
-  if (!ctx.Shared().self.relays) return;
+  if (!is_relay_) return;
   const PushDeltas push{history_.Newest()};
   for (const Address peer : ConfigurationRelays(ctx.Shared()).Followers()) {
     counters_.Add(FollowerCounter::kDeltasPushed);
--- a/Source/Plugins/Configuration/configuration_follower.h
+++ b/Source/Plugins/Configuration/configuration_follower.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,17 +66,20 @@
  private:
   void Read(Context& ctx);
   void Watch(Context& ctx);
+  uint32_t WatchWaitMs(Context& ctx) const;
   void HandleReply(Context& ctx, const PlatformReplied& replied);
   void ApplyRow(Context& ctx, const PlatformReply& reply);
   /// Reads or watches the row, or only checks again later while relays are
   /// available.
   void RequestOrUseRelays(Context& ctx);
   Duration DelayBeforeNextRequest(const Context& ctx, bool row_changed) const;
+  void RecordSuccess(Context& ctx);
   void SetUsesRelays(Context& ctx, bool uses_relays);
   void SetIsRelay(Context& ctx, bool is_relay);
   void RetryLater(Context& ctx);
   void HandleTimer(Context& ctx, const TimerFired& timer);
   void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
+  void HandleMemberChanged(Context& ctx, Address address);
   /// Records that `peer` holds `version` and schedules a pull if it is newer.
   void RecordPeerVersion(Context& ctx, Address peer, uint64_t version);
   void PullIfBehind(Context& ctx);
@@ -111,6 +115,13 @@
   bool uses_relays_ = false;
   /// True while this daemon is announced as a relay.
   bool is_relay_ = false;
+  /// Consecutive checks at which there were too few relays.
+  uint32_t checks_without_relays_ = 0;
+  /// Whether the current request is a watch, and when it was sent.
+  bool watching_ = false;
+  Time sent_at_{};
+  /// Other daemons whose member record last said that they are relays.
+  std::set<Address> known_relays_;
   Counters<FollowerCounter> counters_;
 };
 
--- a/Tests/Configuration/relays_test.cc
+++ b/Tests/Configuration/relays_test.cc
@@ -114,6 +114,59 @@
   CHECK(test.Held(7) == 9);
 }
 
+/// Longest time until all daemons hold a change that is written as soon as the
+/// platform is back, over outages of different lengths.
+Duration WorstTimeAfterOutage(PlatformFault fault, uint32_t relays) {
+  Duration worst{};
+  for (const Duration outage : {1s, 3s, 8s, 12s, 40s}) {
+    for (const Duration offset : {0ms, 700ms, 1'400ms}) {
+      FollowedFleet test(kSize, kSlots, relays);
+      test.fleet.StartAll();
+      test.Write(2);
+      test.fleet.Advance(10s + offset);
+      test.fleet.SetPlatformFault(fault);
+      test.fleet.Advance(outage);
+      test.fleet.SetPlatformFault(PlatformFault::kNone);
+      const Time back = test.fleet.Now();
+      test.Write(9);
+      test.fleet.AdvanceUntil([&] { return test.AllHold(9); }, 60s);
+      worst = std::max(worst, test.fleet.Now() - back);
+    }
+  }
+  MESSAGE("worst ms " << ToMilliseconds(worst));
+  return worst;
+}
+
+// The platform swallows a watch and all that follows without an error; a change
+// that is made once it is back must not wait for the end of the lost watch.
+TEST_CASE(
+    "relays: a change is in force soon after any outage of the platform") {
+  for (const uint32_t relays : {kRelays, kSize}) {
+    for (const auto fault : {PlatformFault::kDown, PlatformFault::kSilent,
+                             PlatformFault::kLoseAnswers}) {
+      CHECK(WorstTimeAfterOutage(fault, relays) <= kPropagationLimit);
+    }
+  }
+}
+
+TEST_CASE("relays: calls to the platform do not grow with the fleet") {
+  const auto reads_at = [](uint32_t size) {
+    FollowedFleet test(size, kSlots, size);
+    test.fleet.StartAll();
+    test.Write(2);
+    test.fleet.Advance(10s);
+    const uint64_t before = test.fleet.PlatformReads();
+    for (uint64_t version = 5; version < 65; version += 3) {
+      test.Write(version);
+      test.fleet.Advance(1s);
+      CHECK(test.AllHold(version));
+    }
+    return test.fleet.PlatformReads() - before;
+  };
+  const uint64_t small = reads_at(12);
+  CHECK(reads_at(48) <= small + small / 10);
+}
+
 TEST_CASE("relays: deltas are retained only as a contiguous series") {
   DeltaHistory history;
   history.Add({2, 5, 0, {}, {}, {}});
