Share the retries beyond the ratio among the daemons of the fleet

Change: a reserve of the fleet, divided by the daemons that are alive; a retry of a request that may have run costs one and a half, as its calls are repeated too, so that a certain 'not run' may use more of the ratio.

--- a/Source/Kernel/kernel_settings.h
+++ b/Source/Kernel/kernel_settings.h
@@ -140,6 +140,13 @@
   /// not watch it.
   bool relays_configuration = true;
 
+  // Requests, continued.
+  /// Rate of the VM's link, in kilobits per second.
+  uint32_t link_kbps = 1'000'000;
+  /// Retries beyond the budget that all daemons together may make in addition,
+  /// shared equally among them; `retry_reserve` applies if this is 0.
+  uint32_t fleet_retry_reserve = 0;
+
   MSGPACK_DEFINE(self, data_centre, peers, backend, seed, spreading,
                  spreading_fanout, holders_timeout_ms, decision_timeout_ms,
                  head_read_interval_ms, snapshot_every, probe_period_ms,
@@ -148,7 +155,8 @@
                  slow_start_ms, platform_timeout_ms, platform_queue_limit,
                  platform_concurrency, choice, answer_window_bytes, source,
                  watch_wait_ms, caller_service, backend_lease_ms, retry_reserve,
-                 drain_limit_ms, callers_grace_ms, relays_configuration)
+                 drain_limit_ms, callers_grace_ms, relays_configuration,
+                 link_kbps, fleet_retry_reserve)
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/Requests/call_router.h
+++ b/Source/Plugins/Requests/call_router.h
@@ -138,6 +138,8 @@
   void RecordFailure(Context& ctx, Address peer);
   void RecordRefusal(Context& ctx, Address from, Errc reason);
   /// If the answer is a failure that another backend server may not repeat,
+  /// Divides the retries of the fleet among the daemons that are alive.
+  void CountDaemons(Context& ctx);
   /// sends the call there and returns true.
   bool RetryFailedAnswer(Context& ctx, ActiveCall& active, Address from,
                          const AnswerPart& part);
@@ -149,7 +151,9 @@
                         std::vector<Candidate>& candidates) const;
   bool HasTime(Context& ctx, const ActiveCall& active,
                const Candidate& candidate) const;
-  bool MayRetry(Context& ctx, const ActiveCall& active, bool use_budget);
+  /// `may_have_run` tells whether the last attempt may have run.
+  bool MayRetry(Context& ctx, const ActiveCall& active, bool use_budget,
+                bool may_have_run);
   /// The call whose current attempt was sent to `from`, or null.
   ActiveCall* FindActiveCall(Address from, uint64_t id);
   void ReleasePeer(const ActiveCall& active);
--- a/Source/Plugins/Requests/call_router_attempts_inl.h
+++ b/Source/Plugins/Requests/call_router_attempts_inl.h
@@ -220,7 +220,7 @@
 
 template <BackendChoice Choice, RequestRules Rules>
 bool CallRouter<Choice, Rules>::MayRetry(Context& ctx, const ActiveCall& active,
-                                         bool use_budget) {
+                                         bool use_budget, bool may_have_run) {
   const uint32_t limit = active.route.max_attempts > 0
                              ? active.route.max_attempts
                              : ctx.Settings().max_attempts;
@@ -231,7 +231,7 @@
   if (candidates.empty()) return false;
   return !use_budget || !Rules::kBoundRetries ||
          retry_budgets_.ForService(active.route.service)
-             .TrySpend(active.route.request_class);
+             .TrySpend(active.route.request_class, may_have_run);
 }
 
 template <BackendChoice Choice, RequestRules Rules>
@@ -247,7 +247,8 @@
   const bool may_run_again =
       (outcome == Outcome::kNotRun || active.route.repeatable) &&
       !IsFinalRefusal(reason);
-  if (may_run_again && MayRetry(ctx, active, use_budget)) {
+  if (may_run_again &&
+      MayRetry(ctx, active, use_budget, outcome != Outcome::kNotRun)) {
     counters_.Add(CallRouterCounter::kRetries);
     Attempt(ctx, active);
     return;
@@ -283,3 +284,13 @@
 }
 
 }  // namespace buckthorncart
+template <BackendChoice Choice, RequestRules Rules>
+void CallRouter<Choice, Rules>::CountDaemons(Context& ctx) {
+  const auto& members = ctx.Shared().members;
+  const auto others =
+      std::count_if(members.begin(), members.end(), [](const auto& entry) {
+        return entry.second.status <= MemberStatus::kSuspect;
+      });
+  retry_budgets_.SetDaemonCount(static_cast<size_t>(others) + 1);
+}
+
--- a/Source/Plugins/Requests/call_router_inl.h
+++ b/Source/Plugins/Requests/call_router_inl.h
@@ -18,7 +18,8 @@
 
 template <BackendChoice Choice, RequestRules Rules>
 CallRouter<Choice, Rules>::CallRouter(const KernelSettings& settings)
-    : retry_budgets_(settings.retry_budget_percent, settings.retry_reserve) {}
+    : retry_budgets_(settings.retry_budget_percent, settings.retry_reserve,
+                     settings.fleet_retry_reserve) {}
 
 template <BackendChoice Choice, RequestRules Rules>
 void CallRouter<Choice, Rules>::Attach(Context& ctx) {
@@ -44,6 +45,7 @@
       HandleDeadline(ctx, timer->argument);
     } else if (timer->kind == TimerKind::kTick) {
       MarkPeersInUse(ctx);
+      CountDaemons(ctx);
     }
   } else if (const auto* changed = std::get_if<MemberChanged>(&event)) {
     HandleMemberChanged(ctx, changed->address);
@@ -201,7 +203,7 @@
   const bool may_retry = failed && part.end == AnswerEnd::kComplete &&
                          active.route.repeatable && !active.head_sent &&
                          ctx.Settings().choice == ChoicePolicy::kNearest;
-  if (!may_retry || !MayRetry(ctx, active, true)) return false;
+  if (!may_retry || !MayRetry(ctx, active, true, true)) return false;
   ReleasePeer(active);
   RecordAttempt(ctx, active, from, std::to_string(part.status));
   counters_.Add(CallRouterCounter::kRetries);
--- a/Tests/Requests/request_parts_test.cc
+++ b/Tests/Requests/request_parts_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -14,9 +15,9 @@
 namespace buckthorncart {
 namespace {
 
-ReceivedAnnouncement Announce(const std::string& id, uint64_t started_ms,
 constexpr uint64_t kWallMs = 1'700'000'000'000;
 
+ReceivedAnnouncement Announce(const std::string& id, uint64_t started_ms,
                               uint64_t sequence,
                               BackendState state = BackendState::kReady) {
   ReceivedAnnouncement announcement;
@@ -114,6 +115,45 @@
   CHECK(spent == 2);
 }
 
+// Every backend server of a service refuses: each daemon spends its reserve,
+// and the more daemons there are, the more retries the service gets.
+TEST_CASE("retry budgets: the reserve of the fleet does not grow with it") {
+  constexpr uint32_t kFleetReserve = 344;
+  for (const size_t daemons : {11U, 195U, 770U}) {
+    size_t spent = 0;
+    for (size_t i = 0; i < daemons; ++i) {
+      RetryBudgets budgets(12, 10, kFleetReserve);
+      budgets.SetDaemonCount(daemons);
+      while (budgets.ForService("a").TrySpend(RequestClass::kInteractive))
+        ++spent;
+    }
+    CHECK(spent <= kFleetReserve);
+  }
+}
+
+TEST_CASE(
+    "retry budgets: a small share still lets the earned retries be used") {
+  RetryBudgets budgets(12, 10, 100);
+  budgets.SetDaemonCount(770);
+  RetryBudget& budget = budgets.ForService("a");
+  while (budget.TrySpend(RequestClass::kInteractive)) {
+  }
+  int spent = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    budget.RecordCall();
+    if (budget.TrySpend(RequestClass::kInteractive)) ++spent;
+  }
+  CHECK(spent == 120);
+}
+
+TEST_CASE("retry budgets: a request that may have run costs more to retry") {
+  RetryBudgets budgets(12, 6);
+  RetryBudget& budget = budgets.ForService("a");
+  int spent = 0;
+  while (budget.TrySpend(RequestClass::kInteractive, true)) ++spent;
+  CHECK(spent == 4);
+}
+
 TEST_CASE("connect gate: consecutive failures lengthen the backoff") {
   ConnectBackoff backoff;
   backoff.RecordFailure(1s);
