Leave the data centre only when no drawn local candidate has room

Cause: two local and two remote candidates were compared at once. A daemon of a large fleet sends to any one backend server so rarely that the load it knows is old, and a remote one of which it knows nothing looked cheaper; a refusal by the backend server itself counted as overload and ejected the local ones besides. Ruled out: full data centres; at 50 and 80% of the capacity they have free slots. Change: four local candidates; remote ones only if none of the four has room. A backend server that sheds counts as one that fails, since the daemon beside it admits no more than its slots.

--- a/Source/Plugins/Requests/backend_choice.cc
+++ b/Source/Plugins/Requests/backend_choice.cc
@@ -13,8 +13,12 @@
 constexpr double kFullThreshold = 0.9;
 /// Number of candidates that are compared inside and outside of the local data
 /// centre. If every daemon compared all candidates, many daemons would choose
-/// the same one at the same time.
-constexpr size_t kSampleSize = 2;
+/// the same one at the same time. In a large fleet a daemon has old reports of
+/// most candidates, so that some of a few local ones seem to be full.
+constexpr size_t kLocalSampleSize = 4;
+constexpr size_t kRemoteSampleSize = 2;
+/// Longest wait for the link of a candidate that has room.
+constexpr Duration kMaxRoomLinkWait = 300ms;
 
 /// Reported share of slots in use, discounted by the age of the report.
 double ReportedLoad(const Candidate& candidate) {
@@ -34,6 +38,11 @@
   return load >= kFullThreshold * candidate.weight;
 }
 
+/// Returns true if the candidate is expected to take a call without delay.
+bool HasRoom(const Candidate& candidate) {
+  return !IsFull(candidate) && candidate.link_wait <= kMaxRoomLinkWait;
+}
+
 std::vector<size_t> AllIndices(const std::vector<Candidate>& all) {
   std::vector<size_t> indices(all.size());
   for (size_t i = 0; i < all.size(); ++i) indices[i] = i;
@@ -136,8 +145,14 @@
   for (size_t i = 0; i < all.size(); ++i) {
     (all[i].same_data_centre ? local : remote).push_back(i);
   }
-  std::vector<size_t> sampled = Sample(ctx, local, kSampleSize);
-  for (const size_t i : Sample(ctx, remote, kSampleSize)) sampled.push_back(i);
+  std::vector<size_t> sampled = Sample(ctx, local, kLocalSampleSize);
+  const bool local_room =
+      std::any_of(sampled.begin(), sampled.end(),
+                  [&](size_t i) { return HasRoom(all[i]); });
+  if (!local_room) {
+    for (const size_t i : Sample(ctx, remote, kRemoteSampleSize))
+      sampled.push_back(i);
+  }
   return *std::min_element(sampled.begin(), sampled.end(),
                            [&](size_t a, size_t b) {
                              return NearestCost(all[a]) < NearestCost(all[b]);
--- a/Source/Plugins/Requests/backend_choice.h
+++ b/Source/Plugins/Requests/backend_choice.h
@@ -53,9 +53,10 @@
   size_t Pick(Context& ctx, const std::vector<Candidate>& all) const;
 };
 
-/// Draws two random candidates in the local data centre and two outside of it,
-/// and picks the one with the lowest expected answer time. The latency of the
-/// link to another data centre and recent failures count towards that time.
+/// Draws random candidates in the local data centre and picks the one with the
+/// lowest expected answer time. If none of them has room, it also draws
+/// candidates in other data centres. The latency of the link there, recent
+/// failures, and the way of a large body count towards the time.
 struct NearestChoice {
   size_t Pick(Context& ctx, const std::vector<Candidate>& all) const;
 };
--- a/Source/Plugins/Requests/call_router_attempts_inl.h
+++ b/Source/Plugins/Requests/call_router_attempts_inl.h
@@ -203,7 +203,13 @@
       RecordFailure(ctx, from);
       break;
     case Errc::kOverloaded:
-      backend_stats_.RecordOverloaded(from, ctx.Now());
+      // The daemon admits no more than the announced slots, so the backend
+      // server has refused for another reason than its load.
+      if (ctx.Settings().choice == ChoicePolicy::kNearest) {
+        backend_stats_.RecordOutcome(from, true, ctx.Now());
+      } else {
+        backend_stats_.RecordOverloaded(from, ctx.Now());
+      }
       break;
     case Errc::kDraining:
     case Errc::kNotReady:
