Ask for large bodies instead of sending them with their calls

Ruled out: slots, which are free; the processor (0.02 of a core). Change: a large body is withheld; the daemon beside the backend server counts its link as it counts slots, refuses what cannot arrive in time as 'not run' before it is sent, and asks for the rest in pieces. Choice counts the way of the body. A call whose body is incomplete there has not run, whatever is lost. Not done: passing bodies on as they arrive.

--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -223,6 +223,8 @@
             "maximum size of a request body, bytes");
   AddNumber("--answer-window-bytes", kernel.answer_window_bytes, 65'536, ~0U,
             "maximum bytes of one answer in flight between two daemons");
+  AddNumber("--link-kbps", kernel.link_kbps, 1, 400'000'000,
+            "rate of the link of this VM, kbit/s");
   AddNumber("--header-limit", header_limit_, 1'024, 60'000,
             "maximum size of a request head, bytes");
   AddNumber("--connection-limit", connection_limit_, 1, 65'536,
--- a/Source/Kernel/metric_help.cc
+++ b/Source/Kernel/metric_help.cc
@@ -56,6 +56,8 @@
      "Time since the backend server last announced itself, seconds."},
     {"admission_runs_total", "Calls started on the backend server, calls."},
     {"admission_refused_total", "Calls refused by this daemon, calls."},
+    {"admission_bodies_transferred_total",
+     "Bodies that arrived after this daemon asked for them, bodies."},
     {"admission_queued_total", "Calls that waited for a slot, calls."},
     {"admission_expired_in_queue_total",
      "Calls whose deadline passed in the queue, calls."},
--- a/Source/Net/peer_transport.cc
+++ b/Source/Net/peer_transport.cc
@@ -22,6 +22,8 @@
          !std::holds_alternative<CallFailed>(message) &&
          !std::holds_alternative<CancelCall>(message) &&
          !std::holds_alternative<CallCredit>(message) &&
+         !std::holds_alternative<BodyRequest>(message) &&
+         !std::holds_alternative<BodyPiece>(message) &&
          !std::holds_alternative<ClaimQuery>(message) &&
          !std::holds_alternative<ClaimReport>(message) &&
          !std::holds_alternative<OutcomeQuery>(message) &&
--- a/Source/Plugins/Admission/admission.cc
+++ b/Source/Plugins/Admission/admission.cc
@@ -9,8 +9,8 @@
 namespace {
 
 const PluginRegistration kRegistration(
-    PluginRank::kAdmission, [](const KernelSettings& /*settings*/) {
-      return std::make_unique<Admission<StandardRequestRules>>();
+    PluginRank::kAdmission, [](const KernelSettings& settings) {
+      return std::make_unique<Admission<StandardRequestRules>>(settings);
     });
 
 }  // namespace
--- a/Source/Plugins/Admission/admission.h
+++ b/Source/Plugins/Admission/admission.h
@@ -13,9 +13,11 @@
 #include "Base/time.h"
 #include "Kernel/claim_events.h"
 #include "Kernel/counters.h"
+#include "Kernel/kernel_settings.h"
 #include "Kernel/latency_histogram.h"
 #include "Kernel/plugin.h"
 #include "Plugins/Admission/announcement_filter.h"
+#include "Plugins/Admission/body_transfers.h"
 #include "Plugins/Admission/concurrency_limit.h"
 #include "Plugins/Admission/connect_backoff.h"
 #include "Plugins/Admission/crash_suspects.h"
@@ -37,6 +39,7 @@
   kCancelled,
   kEvicted,
   kShed,
+  kBodiesTransferred,
 };
 
 template <>
@@ -46,7 +49,7 @@
       "admission_queued_total",    "admission_expired_in_queue_total",
       "admission_completed_total", "admission_broken_total",
       "admission_cancelled_total", "admission_evicted_total",
-      "admission_shed_total"};
+      "admission_shed_total",      "admission_bodies_transferred_total"};
 };
 
 /// Admission control for one backend server. All requests to it pass through
@@ -55,6 +58,7 @@
 template <RequestRules Rules>
 class Admission : public Plugin {
  public:
+  explicit Admission(const KernelSettings& settings);
   void Attach(Context& ctx) override;
   void Handle(Context& ctx, const Event& event) override;
   bool HandleOperator(Context& ctx, const OperatorRequested& request) override;
@@ -75,10 +79,16 @@
     uint32_t parts = 0;
     /// True while the claim of an unrepeatable request is undecided.
     bool awaiting_claim = false;
+    /// True until the withheld body has arrived.
+    bool awaiting_body = false;
   };
 
   void HandleCall(Context& ctx, Address from, const Call& call);
   void HandleCancel(Context& ctx, Address from, uint64_t id);
+  void HandleBodyPiece(Context& ctx, Address from, const BodyPiece& piece);
+  /// Asks for as much of the withheld bodies as the link has room for.
+  void RequestBodies(Context& ctx);
+  void RefuseAwaitingBody(Context& ctx, Errc reason);
   void HandleAnswer(Context& ctx, const BackendAnswered& answered);
   void HandlePeerLost(Context& ctx, Address peer);
   void HandleDeadline(Context& ctx, uint64_t run_id);
@@ -94,13 +104,19 @@
   bool HandleBrokenRun(Context& ctx, uint64_t fingerprint);
   void SendAnswerPart(Context& ctx, Run& run, AnswerPart part);
   bool MayStart(Context& ctx, const Call& call);
-  /// Returns the expected time until a new call gets a slot.
-  Duration ExpectedWait(Context& ctx, const Call& call);
+  /// Returns the expected time until a new call gets a slot; zero if there is
+  /// one.
+  Duration SlotWait(Context& ctx, const Call& call);
+  /// Returns the time until the withheld body of a new call begins to arrive.
+  Duration LinkWait(const Call& call) const;
+  /// Returns the expected time until a new call starts: the waits for the link
+  /// and for a slot, and the transfer of a withheld body.
+  Duration TimeToStart(Context& ctx, const Call& call);
   bool MissesDeadline(Context& ctx, const Call& call, Duration remaining,
-                      Duration wait);
-  /// Returns true if a call that waits for `wait` is expected to miss its
-  /// target.
-  bool MissesTarget(Context& ctx, const Call& call, Duration wait);
+                      Duration to_start);
+  /// Returns true if a call that starts after `to_start` is expected to miss
+  /// its target.
+  bool MissesTarget(Context& ctx, const Call& call, Duration to_start);
   void HandleClaimDenied(Context& ctx, const ClaimDenied& denied);
   /// Starts the run, or queues it until a slot is free.
   void StartOrQueue(Context& ctx, uint64_t run_id);
@@ -108,7 +124,8 @@
   void StartRun(Context& ctx, uint64_t run_id);
   void EndRun(Context& ctx, uint64_t run_id);
   void Refuse(Context& ctx, const CallKey& key, Errc reason,
-              bool refused_by_backend = false, Duration wait = {});
+              bool refused_by_backend = false, Duration wait = {},
+              Duration link_wait = {});
   void ReportCrashSuspects(Context& ctx);
   void LogRefusal(Context& ctx, Address from, const Call& call, Errc reason,
                   Duration wait);
@@ -124,6 +141,7 @@
   std::map<uint64_t, Run> runs_;
   std::map<CallKey, uint64_t> run_of_call_;
   RunQueue<Rules> queue_;
+  BodyTransfers body_transfers_;
   /// Service times by route.
   std::map<std::string, ServiceTime> service_times_;
   AnnouncementFilter announcement_filter_;
@@ -139,5 +157,6 @@
 
 }  // namespace buckthorncart
 
+#include "Plugins/Admission/admission_bodies_inl.h"
 #include "Plugins/Admission/admission_inl.h"
 #include "Plugins/Admission/admission_runs_inl.h"
--- a/Source/Plugins/Admission/admission_inl.h
+++ b/Source/Plugins/Admission/admission_inl.h
@@ -16,6 +16,10 @@
 
 inline constexpr uint32_t kPerMille = 1'000;
 
+template <RequestRules Rules>
+Admission<Rules>::Admission(const KernelSettings& settings)
+    : body_transfers_(settings.link_kbps) {}
+
 template <RequestRules Rules>
 void Admission<Rules>::Attach(Context& ctx) {
   ctx.Shared().run_by_call = &run_of_call_;
@@ -42,6 +46,8 @@
     } else if (const auto* cancel =
                    std::get_if<CancelCall>(&message->message)) {
       HandleCancel(ctx, message->from, cancel->id);
+    } else if (const auto* piece = std::get_if<BodyPiece>(&message->message)) {
+      HandleBodyPiece(ctx, message->from, *piece);
     }
   } else if (const auto* answered = std::get_if<BackendAnswered>(&event)) {
     HandleAnswer(ctx, *answered);
@@ -58,6 +64,7 @@
   } else if (const auto* denied = std::get_if<ClaimDenied>(&event)) {
     HandleClaimDenied(ctx, *denied);
   }
+  RequestBodies(ctx);
 }
 
 template <RequestRules Rules>
@@ -121,6 +128,7 @@
   } else if (backend_.state == BackendState::kDraining) {
     // Requests that have not started can run at another backend server.
     RefuseQueued(ctx, Errc::kDraining);
+    RefuseAwaitingBody(ctx, Errc::kDraining);
   }
 }
 
@@ -138,16 +146,19 @@
   const uint32_t slots = Slots(ctx);
   if (slots == 0) return Errc::kOverloaded;
   const Duration remaining = std::chrono::milliseconds(call.remaining_ms);
-  if (MissesDeadline(ctx, call, remaining, Duration::zero())) {
+  if (MissesDeadline(ctx, call, remaining,
+                     body_transfers_.TransferTime(call.withheld_bytes))) {
     return Errc::kDeadlineExpired;
   }
-  if (MayStart(ctx, call)) return Errc::kOk;
-  const bool full = queue_.Size() >= ctx.Settings().queue_limit &&
+  const Duration wait = LinkWait(call) + SlotWait(ctx, call);
+  if (wait == Duration::zero()) return Errc::kOk;
+  const bool full = !MayStart(ctx, call) &&
+                    queue_.Size() >= ctx.Settings().queue_limit &&
                     !queue_.CanEvictFor(call.route, WeightOfCall(call));
-  const Duration wait = ExpectedWait(ctx, call);
+  const Duration to_start = TimeToStart(ctx, call);
   if (full || wait > std::chrono::milliseconds(call.max_wait_ms) ||
-      MissesTarget(ctx, call, wait) ||
-      MissesDeadline(ctx, call, remaining, wait)) {
+      MissesTarget(ctx, call, to_start) ||
+      MissesDeadline(ctx, call, remaining, to_start)) {
     return Errc::kOverloaded;
   }
   return Errc::kOk;
@@ -161,9 +172,9 @@
   if (run_of_call_.contains(key)) return;
   const Errc reason = ReasonToRefuse(ctx, call);
   if (reason != Errc::kOk) {
-    const Duration wait = ExpectedWait(ctx, call);
+    const Duration wait = TimeToStart(ctx, call);
     LogRefusal(ctx, from, call, reason, wait);
-    Refuse(ctx, key, reason, false, wait);
+    Refuse(ctx, key, reason, false, wait, LinkWait(call));
     return;
   }
   const uint64_t run_id = ++last_run_id_;
@@ -181,6 +192,12 @@
     ctx.Raise(ClaimRequested{run_id, from, call});
     return;
   }
+  if (call.withheld_bytes > 0) {
+    run.awaiting_body = true;
+    run.call.request.body.reserve(call.withheld_bytes);
+    body_transfers_.Add(run_id, call.withheld_bytes, WeightOfCall(call));
+    return;
+  }
   StartOrQueue(ctx, run_id);
 }
 
@@ -296,26 +313,31 @@
 }
 
 template <RequestRules Rules>
-Duration Admission<Rules>::ExpectedWait(Context& ctx, const Call& call) {
+Duration Admission<Rules>::SlotWait(Context& ctx, const Call& call) {
+  if (MayStart(ctx, call)) return Duration::zero();
   return queue_.ExpectedWait(call.route, WeightOfCall(call), Slots(ctx),
                              ctx.Now());
 }
 
-/// Returns true if a call that waits for `wait` is expected to end after its
-/// deadline.
+/// Returns true if a call that starts after `to_start` is expected to end after
+/// its deadline.
 template <RequestRules Rules>
 bool Admission<Rules>::MissesDeadline(Context& ctx, const Call& call,
-                                      Duration remaining, Duration wait) {
+                                      Duration remaining, Duration to_start) {
   if (!Rules::kCheckServiceTime) return false;
-  return remaining < wait + ServiceTimeOf(call).Expected(ctx.Now());
+  return remaining < to_start + ServiceTimeOf(call).Expected(ctx.Now());
 }
 
 template <RequestRules Rules>
 bool Admission<Rules>::MissesTarget(Context& ctx, const Call& call,
-                                    Duration wait) {
+                                    Duration to_start) {
   if (call.target_ms == ~0U) return false;
   const Duration target = std::chrono::milliseconds(call.target_ms);
-  return target < wait + ServiceTimeOf(call).Expected(ctx.Now());
+  const Duration expected = to_start + ServiceTimeOf(call).Expected(ctx.Now());
+  // A saturated link keeps the expected time near the limit, so that without
+  // the margin half of the transferred bodies would miss the target.
+  if (call.withheld_bytes > 0) return target < expected * 5 / 4;
+  return target < expected;
 }
 
 template <RequestRules Rules>
@@ -345,7 +367,10 @@
   ++slots_in_use_;
   queue_.RecordStart(run.call.route, ctx.Now());
   counters_.Add(AdmissionCounter::kRuns);
-  HttpRequest request = run.call.request;
+  // The body is not needed any more: a further attempt is made by the daemon
+  // that received the call.
+  HttpRequest request = std::move(run.call.request);
+  run.call.request.headers = request.headers;
   const auto remaining =
       std::max<int64_t>(ToMilliseconds(run.deadline - ctx.Now()), 0);
   request.headers.push_back(
@@ -366,6 +391,7 @@
   }
   if (!it->second.started) {
     queue_.Erase(run_id);
+    body_transfers_.Erase(run_id);
     const bool claimed = !it->second.call.repeatable &&
                          !it->second.call.idempotency_key.empty() &&
                          !it->second.awaiting_claim;
@@ -378,11 +404,14 @@
 
 template <RequestRules Rules>
 void Admission<Rules>::Refuse(Context& ctx, const CallKey& key, Errc reason,
-                              bool refused_by_backend, Duration wait) {
+                              bool refused_by_backend, Duration wait,
+                              Duration link_wait) {
   counters_.Add(AdmissionCounter::kRefused);
-  ctx.Send(key.first, CallRefused{key.second, reason, LoadPerMille(ctx),
-                                  refused_by_backend,
-                                  static_cast<uint32_t>(ToMilliseconds(wait))});
+  ctx.Send(
+      key.first,
+      CallRefused{key.second, reason, LoadPerMille(ctx), refused_by_backend,
+                  static_cast<uint32_t>(ToMilliseconds(wait)),
+                  static_cast<uint32_t>(ToMilliseconds(link_wait))});
 }
 
 template <RequestRules Rules>
--- a/Source/Plugins/Admission/admission_runs_inl.h
+++ b/Source/Plugins/Admission/admission_runs_inl.h
@@ -105,8 +105,10 @@
 void Admission<Rules>::SendAnswerPart(Context& ctx, Run& run, AnswerPart part) {
   run.head_sent = true;
   const auto [peer, id] = run.key;
-  ctx.Send(peer,
-           CallAnswer{id, std::move(part), LoadPerMille(ctx), ++run.parts});
+  const auto link_wait_ms =
+      static_cast<uint32_t>(ToMilliseconds(body_transfers_.Backlog()));
+  ctx.Send(peer, CallAnswer{id, std::move(part), LoadPerMille(ctx), ++run.parts,
+                            link_wait_ms});
 }
 
 template <RequestRules Rules>
--- a/Source/Plugins/Membership/membership_inl.h
+++ b/Source/Plugins/Membership/membership_inl.h
@@ -88,6 +88,7 @@
   self.address = ctx.Settings().self;
   self.data_centre = ctx.Settings().data_centre;
   self.incarnation = wall_ms;
+  self.link_kbps = ctx.Settings().link_kbps;
   UpdateSelf(ctx);
   AnnounceToPlatform(ctx);
   Join(ctx);
--- a/Source/Plugins/Requests/backend_choice.cc
+++ b/Source/Plugins/Requests/backend_choice.cc
@@ -90,7 +90,9 @@
   const double link_latency =
       candidate.same_data_centre ? 0.0 : kCrossDataCentreUs;
   const double failure_penalty = candidate.failure_rate * kFailurePenaltyUs;
-  return time * (1.0 + load) + link_latency + failure_penalty;
+  const Duration until_body = candidate.link_wait + candidate.body_time;
+  const auto body_time = static_cast<double>(until_body.count());
+  return time * (1.0 + load) + body_time + link_latency + failure_penalty;
 }
 
 size_t PickUniform(Context& ctx, const std::vector<size_t>& from) {
--- a/Source/Plugins/Requests/backend_choice.h
+++ b/Source/Plugins/Requests/backend_choice.h
@@ -28,6 +28,11 @@
   Duration load_age{};
   /// Recent average of its answer times on the route; zero when unknown.
   Duration expected_time{};
+  /// Time that the body of the call takes on the way to its daemon; zero if the
+  /// body is sent with the call.
+  Duration body_time{};
+  /// Wait until the body can be sent.
+  Duration link_wait{};
   /// Recent share of its answers that were failures, from 0 to 1.
   double failure_rate = 0;
   /// Share of its slots that may be used; below 1 during slow start.
--- a/Source/Plugins/Requests/backend_stats.h
+++ b/Source/Plugins/Requests/backend_stats.h
@@ -70,6 +70,21 @@
     stats.load_per_mille = std::max(load_per_mille, kMinBusyLoad);
     stats.load_reported_at = now;
   }
+  /// An answer or refusal that reports the time until the link of the peer is
+  /// free for a further body.
+  void RecordLinkWait(Address peer, Duration wait, Time now) {
+    PeerStats& stats = peers_[peer];
+    stats.link_wait = wait;
+    stats.link_reported_at = now;
+  }
+  /// Last reported wait for the link of `peer`, discounted by its age.
+  Duration LinkWaitOf(Address peer, Time now) const {
+    const auto it = peers_.find(peer);
+    if (it == peers_.end()) return Duration::zero();
+    const Duration age = now - it->second.link_reported_at;
+    return Duration(it->second.link_wait.count() * kLinkHalfLife.count() /
+                    (kLinkHalfLife + age).count());
+  }
   /// A refusal because the backend server is unavailable, which contradicts the
   /// record of `member`.
   void RecordUnavailable(const Member& member, Time now) {
@@ -129,6 +144,8 @@
     uint32_t in_flight = 0;
     uint32_t load_per_mille = 0;
     Time load_reported_at{};
+    Duration link_wait{};
+    Time link_reported_at{};
     Ejection ejection;
     FailureRate failure_rate;
     /// By route.
@@ -141,6 +158,8 @@
     BackendState state = BackendState::kAbsent;
     Time ready_at{};
   };
+  /// Age at which a reported wait for a link counts for half of its value.
+  static constexpr Duration kLinkHalfLife = 500ms;
   /// Load of a backend server without a free slot is at least this, per mille.
   static constexpr uint32_t kMinBusyLoad = 1'000;
   /// Load assumed after a refusal for lack of slots, per mille.
--- a/Source/Plugins/Requests/call_router.h
+++ b/Source/Plugins/Requests/call_router.h
@@ -95,6 +95,10 @@
     bool may_wait = false;
     /// Shortest queueing time reported in a refusal.
     Duration min_wait{};
+    /// Size of the body if the current attempt was sent without it.
+    uint64_t withheld_bytes = 0;
+    /// Bytes of the withheld body that have been sent.
+    uint64_t body_bytes_sent = 0;
     /// Daemon, times and result of each attempt, for the log.
     std::string attempt_log;
   };
@@ -112,6 +116,18 @@
   static uint32_t MaxWaitMs(Context& ctx, const ActiveCall& active);
   /// Time left until the target latency of the route.
   static uint32_t RemainingTargetMs(Context& ctx, const ActiveCall& active);
+  void HandleBodyRequest(Context& ctx, Address from,
+                         const BodyRequest& request);
+  /// True if the current attempt cannot have reached a backend server because
+  /// its body has not been sent completely.
+  static bool IsBodyIncomplete(const ActiveCall& active);
+  /// Returns the bytes of the body that are sent only when the daemon of
+  /// `member` asks for them; 0 if the call is sent with its body.
+  uint64_t BytesToWithhold(Context& ctx, const ActiveCall& active,
+                           const Member& member) const;
+  /// Sets the times until the daemon of `member` has the body.
+  void AddBodyTime(Context& ctx, const ActiveCall& active, const Member& member,
+                   Candidate& candidate) const;
   void HandleAnswer(Context& ctx, Address from, const CallAnswer& answer);
   void HandleFailed(Context& ctx, Address from, const CallFailed& failed);
   void HandlePeerLost(Context& ctx, Address peer);
@@ -122,6 +138,8 @@
   /// Marks the connections of unanswered calls as in use, so that their health
   /// continues to be checked.
   void MarkPeersInUse(Context& ctx) const;
+  /// Divides the retries of the fleet among the daemons that are alive.
+  void CountDaemons(Context& ctx);
   /// Asks the admitting daemon for the outcome of an unrepeatable call. Returns
   /// false if the outcome cannot be obtained that way.
   bool QueryOutcome(Context& ctx, ActiveCall& active);
@@ -135,11 +153,10 @@
   void AddCandidate(Context& ctx, const ActiveCall& active,
                     const Member& member,
                     std::vector<Candidate>& candidates) const;
+  static Call MakeCall(Context& ctx, const ActiveCall& active);
   void RecordFailure(Context& ctx, Address peer);
   void RecordRefusal(Context& ctx, Address from, Errc reason);
   /// If the answer is a failure that another backend server may not repeat,
-  /// Divides the retries of the fleet among the daemons that are alive.
-  void CountDaemons(Context& ctx);
   /// sends the call there and returns true.
   bool RetryFailedAnswer(Context& ctx, ActiveCall& active, Address from,
                          const AnswerPart& part);
@@ -184,4 +201,5 @@
 }  // namespace buckthorncart
 
 #include "Plugins/Requests/call_router_attempts_inl.h"
+#include "Plugins/Requests/call_router_bodies_inl.h"
 #include "Plugins/Requests/call_router_inl.h"
--- a/Source/Plugins/Requests/call_router_attempts_inl.h
+++ b/Source/Plugins/Requests/call_router_attempts_inl.h
@@ -18,6 +18,12 @@
 /// A call may queue in the local data centre for its target latency divided by
 /// this, while other data centres may have a free slot.
 inline constexpr uint32_t kLocalWaitDivisor = 8;
+/// The same for a call whose body is withheld; another data centre would get
+/// the large body over shared links.
+inline constexpr uint32_t kLocalLinkWaitDivisor = 4;
+/// Load of a backend server without a free slot; a refusal with a lower load is
+/// for lack of bandwidth.
+inline constexpr uint32_t kFullLoadPerMille = 1'000;
 
 template <BackendChoice Choice, RequestRules Rules>
 void CallRouter<Choice, Rules>::HandleMemberChanged(Context& ctx,
@@ -51,19 +57,39 @@
   backend_stats_.RecordSent(chosen.daemon);
   active.outcome_queries = 0;
   const auto member = ctx.Shared().members.find(chosen.daemon);
+  active.withheld_bytes = 0;
+  active.body_bytes_sent = 0;
   if (member != ctx.Shared().members.end()) {
     active.incarnation = member->second.incarnation;
+    active.withheld_bytes = BytesToWithhold(ctx, active, member->second);
   }
   ctx.Shared().peer_last_used[chosen.daemon] = ctx.Now();
   counters_.Add(CallRouterCounter::kAttempts);
+  ctx.Send(chosen.daemon, MakeCall(ctx, active));
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+Call CallRouter<Choice, Rules>::MakeCall(Context& ctx,
+                                         const ActiveCall& active) {
   const auto remaining = ToMilliseconds(active.deadline - ctx.Now());
-  ctx.Send(chosen.daemon,
-           Call{active.call, active.route.service, active.route.request_class,
-                active.route.repeatable, active.idempotency_key,
-                static_cast<uint32_t>(std::max<int64_t>(remaining, 0)),
-                active.fingerprint, active.request, active.route.priority,
-                MaxWaitMs(ctx, active), active.route.name,
-                RemainingTargetMs(ctx, active)});
+  Call call;
+  call.id = active.call;
+  call.service = active.route.service;
+  call.request_class = active.route.request_class;
+  call.repeatable = active.route.repeatable;
+  call.idempotency_key = active.idempotency_key;
+  call.remaining_ms = static_cast<uint32_t>(std::max<int64_t>(remaining, 0));
+  call.fingerprint = active.fingerprint;
+  call.request.method = active.request.method;
+  call.request.path = active.request.path;
+  call.request.headers = active.request.headers;
+  call.withheld_bytes = active.withheld_bytes;
+  if (call.withheld_bytes == 0) call.request.body = active.request.body;
+  call.priority = active.route.priority;
+  call.max_wait_ms = MaxWaitMs(ctx, active);
+  call.route = active.route.name;
+  call.target_ms = RemainingTargetMs(ctx, active);
+  return call;
 }
 
 template <BackendChoice Choice, RequestRules Rules>
@@ -83,9 +109,10 @@
   if (active.may_wait) return ~0U;
   // A wait that leaves enough of the target latency costs less than the link to
   // another data centre.
-  return active.busy_daemons.empty()
-             ? active.route.target_latency_ms / kLocalWaitDivisor
-             : 0;
+  if (!active.busy_daemons.empty()) return 0;
+  const uint32_t divisor =
+      active.withheld_bytes > 0 ? kLocalLinkWaitDivisor : kLocalWaitDivisor;
+  return active.route.target_latency_ms / divisor;
 }
 
 template <BackendChoice Choice, RequestRules Rules>
@@ -99,7 +126,10 @@
 void CallRouter<Choice, Rules>::HandleBusy(Context& ctx, ActiveCall& active,
                                            Address from,
                                            const CallRefused& refused) {
-  backend_stats_.RecordBusy(from, refused.load, ctx.Now());
+  const Duration link_wait = std::chrono::milliseconds(refused.link_wait_ms);
+  backend_stats_.RecordLinkWait(from, link_wait, ctx.Now());
+  if (link_wait == Duration::zero() || refused.load >= kFullLoadPerMille)
+    backend_stats_.RecordBusy(from, refused.load, ctx.Now());
   const Duration wait = std::chrono::milliseconds(refused.wait_ms);
   active.min_wait =
       active.busy_daemons.empty() ? wait : std::min(active.min_wait, wait);
@@ -192,6 +222,7 @@
                                                      slow_start, ctx.Now());
   candidate.suspect = member.status == MemberStatus::kSuspect;
   candidate.same_data_centre = member.data_centre == ctx.Settings().data_centre;
+  AddBodyTime(ctx, active, member, candidate);
   candidates.push_back(candidate);
 }
 
@@ -271,6 +302,16 @@
   }
 }
 
+template <BackendChoice Choice, RequestRules Rules>
+void CallRouter<Choice, Rules>::CountDaemons(Context& ctx) {
+  const auto& members = ctx.Shared().members;
+  const auto others =
+      std::count_if(members.begin(), members.end(), [](const auto& entry) {
+        return entry.second.status <= MemberStatus::kSuspect;
+      });
+  retry_budgets_.SetDaemonCount(static_cast<size_t>(others) + 1);
+}
+
 template <BackendChoice Choice, RequestRules Rules>
 bool CallRouter<Choice, Rules>::QueryOutcome(Context& ctx, ActiveCall& active) {
   if (active.route.repeatable || active.head_sent) return false;
@@ -290,13 +331,3 @@
 }
 
 }  // namespace buckthorncart
-template <BackendChoice Choice, RequestRules Rules>
-void CallRouter<Choice, Rules>::CountDaemons(Context& ctx) {
-  const auto& members = ctx.Shared().members;
-  const auto others =
-      std::count_if(members.begin(), members.end(), [](const auto& entry) {
-        return entry.second.status <= MemberStatus::kSuspect;
-      });
-  retry_budgets_.SetDaemonCount(static_cast<size_t>(others) + 1);
-}
-
--- a/Source/Plugins/Requests/call_router_inl.h
+++ b/Source/Plugins/Requests/call_router_inl.h
@@ -107,6 +107,8 @@
     HandleAnswer(ctx, received.from, *answer);
   } else if (const auto* failed = std::get_if<CallFailed>(&message)) {
     HandleFailed(ctx, received.from, *failed);
+  } else if (const auto* request = std::get_if<BodyRequest>(&message)) {
+    HandleBodyRequest(ctx, received.from, *request);
   }
 }
 
@@ -166,6 +168,8 @@
     active->parts_received = answer.sequence;
   }
   backend_stats_.RecordLoad(from, answer.load, ctx.Now());
+  backend_stats_.RecordLinkWait(
+      from, std::chrono::milliseconds(answer.link_wait_ms), ctx.Now());
   if (RetryFailedAnswer(ctx, *active, from, answer.part)) return;
   AnswerPart part = answer.part;
   if (part.IsHead()) {
@@ -259,7 +263,9 @@
     if (QueryOutcome(ctx, active)) continue;
     ReleasePeer(active);
     RecordAttempt(ctx, active, peer, NameOf(Errc::kConnectionLost));
-    RetryOrAnswer(ctx, active, Errc::kConnectionLost, Outcome::kUnknown, true);
+    RetryOrAnswer(
+        ctx, active, Errc::kConnectionLost,
+        IsBodyIncomplete(active) ? Outcome::kNotRun : Outcome::kUnknown, true);
   }
 }
 
@@ -282,7 +288,9 @@
   if (it == active_.end()) return;
   ActiveCall& active = it->second;
   ReleasePeer(active);
-  if (active.route.repeatable) ctx.Send(active.admitting, CancelCall{call});
+  const bool not_run = IsBodyIncomplete(active);
+  if (active.route.repeatable || not_run)
+    ctx.Send(active.admitting, CancelCall{call});
   backend_stats_.RecordAbandoned(active.admitting, active.route.name,
                                  ctx.Now() - active.sent_at, ctx.Now());
   if (active.head_sent) {
@@ -290,7 +298,8 @@
     return;
   }
   RecordAttempt(ctx, active, active.admitting, "no-answer");
-  AnswerFailure(ctx, call, Errc::kDeadlineExpired, Outcome::kUnknown);
+  AnswerFailure(ctx, call, Errc::kDeadlineExpired,
+                not_run ? Outcome::kNotRun : Outcome::kUnknown);
   Finish(ctx, call);
 }
 
--- a/Source/Plugins/Requests/request_rules.h
+++ b/Source/Plugins/Requests/request_rules.h
@@ -21,6 +21,7 @@
   { R::kSlowStart } -> std::convertible_to<bool>;
   { R::kReserveSlots } -> std::convertible_to<bool>;
   { R::kCheckPartOrder } -> std::convertible_to<bool>;
+  { R::kWithholdBodies } -> std::convertible_to<bool>;
 };
 
 struct StandardRequestRules {
@@ -52,6 +53,8 @@
   /// Duplicate parts of an answer are dropped; a missing part breaks the
   /// answer.
   static constexpr bool kCheckPartOrder = true;
+  /// Large bodies are sent to another daemon only when it asks for them.
+  static constexpr bool kWithholdBodies = true;
 };
 
 }  // namespace buckthorncart
--- a/Source/Wire/member.h
+++ b/Source/Wire/member.h
@@ -62,6 +62,9 @@
   /// True if the daemon watches the platform and relays new configuration
   /// versions.
   bool relays = false;
+  /// Rate of the link in kilobits per second; 0 if the daemon takes no withheld
+  /// bodies.
+  uint32_t link_kbps = 0;
 
   /// Returns true if this record replaces `other`, a record of the same
   /// address.
@@ -70,7 +73,7 @@
            std::tie(other.incarnation, other.sequence, other.status);
   }
   MSGPACK_DEFINE(address, data_centre, incarnation, sequence, status, backend,
-                 relays)
+                 relays, link_kbps)
 };
 
 }  // namespace buckthorncart
--- a/Source/Wire/peer_messages.h
+++ b/Source/Wire/peer_messages.h
@@ -139,9 +139,28 @@
   /// Time until the target latency of the answer, in milliseconds. A call whose
   /// wait would miss the target is refused. All bits are set if there is none.
   uint32_t target_ms = ~0U;
+  /// Size of the body if `request` comes without it. The receiver asks for it
+  /// with `BodyRequest` once it can take it. 0 if `request` is complete.
+  uint64_t withheld_bytes = 0;
   MSGPACK_DEFINE(id, service, request_class, repeatable, idempotency_key,
                  remaining_ms, fingerprint, request, priority, max_wait_ms,
-                 route, target_ms)
+                 route, target_ms, withheld_bytes)
+};
+
+/// Asks for a range of the withheld body of a call.
+struct BodyRequest {
+  uint64_t id = 0;
+  uint64_t offset = 0;
+  uint64_t bytes = 0;
+  MSGPACK_DEFINE(id, offset, bytes)
+};
+
+/// Reply to a `BodyRequest`.
+struct BodyPiece {
+  uint64_t id = 0;
+  uint64_t offset = 0;
+  std::string bytes;
+  MSGPACK_DEFINE(id, offset, bytes)
 };
 
 /// The call has not run and will not run.
@@ -152,9 +171,11 @@
   uint32_t load = 0;
   /// True if the backend server itself refused the request.
   bool refused_by_backend = false;
-  /// Expected wait for a slot, in milliseconds.
+  /// Expected wait for the link and for a slot, in milliseconds.
   uint32_t wait_ms = 0;
-  MSGPACK_DEFINE(id, reason, load, refused_by_backend, wait_ms)
+  /// The part of `wait_ms` that is for the link.
+  uint32_t link_wait_ms = 0;
+  MSGPACK_DEFINE(id, reason, load, refused_by_backend, wait_ms, link_wait_ms)
 };
 
 /// A part of the answer. `load` is the share of slots in use, in per mille.
@@ -165,7 +186,9 @@
   /// Number of the part, starting at 1; 0 from daemons that do not number
   /// parts.
   uint32_t sequence = 0;
-  MSGPACK_DEFINE(id, part, load, sequence)
+  /// Time until the link is free for a further withheld body, in milliseconds.
+  uint32_t link_wait_ms = 0;
+  MSGPACK_DEFINE(id, part, load, sequence, link_wait_ms)
 };
 
 /// The call may have run, but its backend server can no longer answer it.
@@ -211,7 +234,8 @@
                  PullMembers, PushMembers, Call, CallRefused, CallAnswer,
                  CallFailed, CancelCall, OperatorQuery, OperatorReply,
                  CallCredit, ClaimQuery, ClaimReport, OutcomeQuery, CrashReport,
-                 RelayedWrite, RelayedReply, PushDeltas>;
+                 RelayedWrite, RelayedReply, PushDeltas, BodyRequest,
+                 BodyPiece>;
 
 }  // namespace buckthorncart
 
--- a/Tests/Requests/request_fleet.h
+++ b/Tests/Requests/request_fleet.h
@@ -17,12 +17,14 @@
 template <RequestRules Rules, BackendChoice Choice = TwoRandomChoices>
 FakeDaemon::Plugins PluginsWith(const KernelSettings& settings) {
   using StandardRouter = CallRouter<TwoRandomChoices, StandardRequestRules>;
+  using NearestRouter = CallRouter<NearestChoice, StandardRequestRules>;
   using StandardAdmission = Admission<StandardRequestRules>;
   FakeDaemon::Plugins plugins = StandardPlugins(settings);
   for (auto& plugin : plugins) {
     if (dynamic_cast<StandardAdmission*>(plugin.get()) != nullptr) {
-      plugin = std::make_unique<Admission<Rules>>();
-    } else if (dynamic_cast<StandardRouter*>(plugin.get()) != nullptr) {
+      plugin = std::make_unique<Admission<Rules>>(settings);
+    } else if (dynamic_cast<StandardRouter*>(plugin.get()) != nullptr ||
+               dynamic_cast<NearestRouter*>(plugin.get()) != nullptr) {
       plugin = std::make_unique<CallRouter<Choice, Rules>>(settings);
     }
   }
--- a/Tests/Support/fake_fleet.cc
+++ b/Tests/Support/fake_fleet.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "Base/overload.h"
+#include "Plugins/Requests/body_rules.h"
+#include "Wire/codec.h"
 
 namespace buckthorncart {
 namespace {
@@ -94,6 +96,27 @@
   return numbers;
 }
 
+Duration FakeFleet::TransitTime(uint32_t from, uint32_t to,
+                                const PeerMessage& message) {
+  const auto sender = links_.find(from);
+  const auto receiver = links_.find(to);
+  if (sender == links_.end() && receiver == links_.end()) return delay_;
+  const uint64_t bytes = Encode(message).size();
+  Time at = now_;
+  if (sender != links_.end()) {
+    Time& free = sender->second.outbound_free;
+    at = std::max(at, free) + LinkTime(bytes, sender->second.kbps);
+    free = at;
+  }
+  at += delay_;
+  if (receiver != links_.end()) {
+    Time& free = receiver->second.inbound_free;
+    at = std::max(at, free) + LinkTime(bytes, receiver->second.kbps);
+    free = at;
+  }
+  return at - now_;
+}
+
 void FakeFleet::Schedule(Duration delay, uint32_t to, Event event) {
   const auto it = process_ids_.find(to);
   if (it == process_ids_.end()) return;
@@ -122,7 +145,9 @@
               Schedule(delay_, NumberOf(sender), PeerConnectionLost{e.to});
               return;
             }
-            Schedule(delay_, to,
+            const Duration transit =
+                TransitTime(NumberOf(sender), to, e.message);
+            Schedule(transit, to,
                      PeerMessageReceived{sender, std::move(e.message)});
           },
           [&](SendDatagram& e) {
--- a/Tests/Support/fake_fleet.h
+++ b/Tests/Support/fake_fleet.h
@@ -127,6 +127,9 @@
   void SetFilter(Filter filter) { filter_ = std::move(filter); }
   /// Sets the delay of messages between daemons.
   void SetDelay(Duration delay) { delay_ = delay; }
+  /// Gives daemon `n` a link of `kbps` kilobits per second in each direction,
+  /// on which messages between daemons queue; otherwise they take no time.
+  void SetLink(uint32_t n, uint32_t kbps) { links_[n].kbps = kbps; }
   /// Calls `observer` after each event of any daemon.
   void SetObserver(std::function<void(FakeDaemon&)> observer) {
     observer_ = std::move(observer);
@@ -169,7 +172,18 @@
     Time until{};
   };
 
+  struct Link {
+    uint32_t kbps = 0;
+    /// When the messages that have been sent so far have passed.
+    Time outbound_free{};
+    Time inbound_free{};
+  };
+
+  /// Returns the time until `message` has passed the links of both daemons.
+  Duration TransitTime(uint32_t from, uint32_t to, const PeerMessage& message);
+
   PluginFactory plugins_;
+  std::map<uint32_t, Link> links_;
   std::vector<PendingWatch> watches_;
   std::set<uint32_t> refused_daemons_;
   uint64_t history_start_ = 0;
