--- a/Tests/Wire/http_reader_test.cc
+++ b/Tests/Wire/http_reader_test.cc
@@ -202,7 +202,9 @@
       {head, "00000000"},
       {head + "1;", "a=bbbbbb;"},
       {head + "0\r\n", "X-A: b\r\n"}};
-  for (const auto& [begin, repeated] : endless_requests) {
+  for (const auto& endless : endless_requests) {
+    const std::string& begin = endless.first;
+    const std::string& repeated = endless.second;
     CAPTURE(begin);
     HttpRequestReader reader({});
     reader.Append(begin);
