Take no memory on a peer's word for the size of a body

Cause: the admitting daemon reserved as many bytes as a call announced, so that one malformed call could end the process (found in the read-through). Change: a body over 64 MB is refused, and memory grows as bytes arrive; new test.

--- a/Source/Plugins/Admission/admission.h
+++ b/Source/Plugins/Admission/admission.h
@@ -159,4 +159,5 @@
 
 #include "Plugins/Admission/admission_bodies_inl.h"
 #include "Plugins/Admission/admission_inl.h"
+#include "Plugins/Admission/admission_log_inl.h"
 #include "Plugins/Admission/admission_runs_inl.h"
--- a/Source/Plugins/Admission/admission_inl.h
+++ b/Source/Plugins/Admission/admission_inl.h
@@ -15,6 +15,9 @@
 namespace buckthorncart {
 
 inline constexpr uint32_t kPerMille = 1'000;
+/// Largest withheld body that is asked for; no daemon can be set to accept a
+/// larger one from its callers.
+inline constexpr uint64_t kMaxWithheldBytes = 64U << 20U;
 
 template <RequestRules Rules>
 Admission<Rules>::Admission(const KernelSettings& settings)
@@ -139,6 +142,7 @@
   if (backend_.state != BackendState::kReady) return Errc::kNotReady;
   if (backend_.service != call.service) return Errc::kNoBackendServer;
   if (call.remaining_ms == 0) return Errc::kDeadlineExpired;
+  if (call.withheld_bytes > kMaxWithheldBytes) return Errc::kBodyTooLarge;
   if (ctx.Shared().crash_register->IsBlocked(ctx.Now(), call.fingerprint)) {
     return Errc::kCrashGuard;
   }
@@ -194,7 +198,6 @@
   }
   if (call.withheld_bytes > 0) {
     run.awaiting_body = true;
-    run.call.request.body.reserve(call.withheld_bytes);
     body_transfers_.Add(run_id, call.withheld_bytes, WeightOfCall(call));
     return;
   }
@@ -261,45 +264,6 @@
   }
 }
 
-template <RequestRules Rules>
-void Admission<Rules>::LogRefusal(Context& ctx, Address from, const Call& call,
-                                  Errc reason, Duration wait) {
-  const Duration age = ctx.Now() - last_announcement_;
-  ctx.Log(LogTopic::kCallRefused,
-          {{"id",
-            std::string(FindHeader(call.request.headers, header::kRequestId))},
-           {"route", call.route},
-           {"from", from.ToString()},
-           {"reason", std::string(NameOf(reason))},
-           {"wait_ms", std::to_string(ToMilliseconds(wait))},
-           {"max_wait_ms", std::to_string(call.max_wait_ms)},
-           {"target_ms", std::to_string(call.target_ms)},
-           {"left_ms", std::to_string(call.remaining_ms)},
-           {"slots",
-            std::to_string(slots_in_use_) + "/" + std::to_string(Slots(ctx))},
-           {"queue", std::to_string(queue_.Size())},
-           {"backend", std::string(NameOf(backend_.state))},
-           {"backend_age_ms", std::to_string(ToMilliseconds(age))}});
-}
-
-template <RequestRules Rules>
-void Admission<Rules>::LogFailedRun(Context& ctx, const Run& run,
-                                    std::string_view fault, uint16_t status) {
-  ctx.Log(
-      LogTopic::kRunFailed,
-      {{"id",
-        std::string(FindHeader(run.call.request.headers, header::kRequestId))},
-       {"route", run.call.route},
-       {"from", run.key.first.ToString()},
-       {"fault", std::string(fault)},
-       {"status", std::to_string(status)},
-       {"waited_ms",
-        std::to_string(ToMilliseconds(run.started_at - run.queued_at))},
-       {"ran_ms", std::to_string(ToMilliseconds(ctx.Now() - run.started_at))},
-       {"backend_id", backend_.id},
-       {"backend", std::string(NameOf(backend_.state))}});
-}
-
 template <RequestRules Rules>
 double Admission<Rules>::WeightOfCall(const Call& call) {
   return WeightOf(call.priority, call.request_class);
--- a/Tests/Requests/link_test.cc
+++ b/Tests/Requests/link_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -239,6 +240,28 @@
         "not-run");
 }
 
+// The size is the word of another daemon; memory must not be taken on it.
+TEST_CASE("link: a call with a withheld body of absurd size is refused") {
+  LinkFleet fleet(PluginsWith<StandardRequestRules, NearestChoice>);
+  FakeFleet& fake = fleet.Fleet();
+  std::optional<Errc> reason;
+  fake.SetFilter([&reason](Address, const Effect& effect) {
+    const auto* sent = std::get_if<SendPeer>(&effect);
+    if (sent == nullptr) return true;
+    const auto* refused = std::get_if<CallRefused>(&sent->message);
+    if (refused != nullptr) reason = refused->reason;
+    return true;
+  });
+  Call call;
+  call.id = 1;
+  call.service = "vet-intake";
+  call.remaining_ms = 1'000;
+  call.withheld_bytes = ~uint64_t{0};
+  fake.Inject(kServer, PeerMessageReceived{fake.At(1).Self(), call});
+  fake.Advance(10ms);
+  CHECK(reason == Errc::kBodyTooLarge);
+}
+
 TEST_CASE("body transfers: a stalled sender does not hold up the others") {
   constexpr Time kStart = 1h;
   BodyTransfers transfers(kNarrowKbps);
