--- a/review/support/http_server.h
+++ b/review/support/http_server.h
@@ -4,7 +4,6 @@
 
 #include <atomic>
 #include <functional>
-#include <list>
 #include <optional>
 #include <string>
 #include <thread>
@@ -33,7 +32,7 @@
     if (stopping_.exchange(true)) return;
     if (accept_thread_.joinable()) accept_thread_.join();
     listener_.Close();
-    for (std::thread& thread : connection_threads_) thread.join();
+    while (connections_ > 0) std::this_thread::sleep_for(1ms);
   }
 
  private:
@@ -43,8 +42,11 @@
     while (!stopping_) {
       Socket socket = listener_.Accept(kPollInterval);
       if (!socket.IsValid()) continue;
-      connection_threads_.emplace_back(
-          [this, connection = std::move(socket)] { Serve(connection); });
+      ++connections_;
+      std::thread([this, connection = std::move(socket)] {
+        Serve(connection);
+        --connections_;
+      }).detach();
     }
   }
 
@@ -65,7 +67,8 @@
   Socket listener_;
   std::atomic<bool> stopping_ = false;
   std::thread accept_thread_;
-  std::list<std::thread> connection_threads_;
+  /// Connections that are served, each by its thread.
+  std::atomic<int> connections_ = 0;
 };
 
 }  // namespace review
