Record a departure outside of the process before it is acknowledged

Cause: what had been acknowledged was in the memory of the process only; a new process took the first announcement that it heard for the first of a start. The record of the case shows it: the late heartbeat is answered 200 by the new process and followed by backend-state=ready.

Needing newer evidence alone was ruled out, since it would keep a good server out of use after each restart.

Change: LeaveRecord writes left/ADDRESS before the acknowledgement and reads it at the start; two peers that hold the member record take the place of a platform that does not answer. The own record is not published before an earlier one has been read, and an announcement waits for that. With neither source a start is taken once it has announced itself for 4.5 s; so is one whose clock is behind, or one that an odd number has locked out.

--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -50,6 +50,7 @@
   kDrain,
   kBurn,
   kSnapshotUpload,
+  kLeaveAnswer,
 };
 
 /// The process has started; `wall_ms` is milliseconds since the epoch.
@@ -201,6 +202,26 @@
   MSGPACK_DEFINE(service, outcome, latency_us, ended_by_caller)
 };
 
+/// The store or another daemon has told what an earlier process of this daemon
+/// knew about the backend server; `backend` has no id if it was nothing.
+struct EarlierBackendKnown {
+  BackendAnnouncement backend;
+  MSGPACK_DEFINE(backend)
+};
+
+/// A peer has received the record of this daemon with `sequence`.
+struct OwnRecordReceived {
+  Address peer;
+  uint64_t sequence = 0;
+  MSGPACK_DEFINE(peer, sequence)
+};
+
+/// It is recorded outside of this process that `backend` is leaving.
+struct LeaveRecorded {
+  BackendAnnouncement backend;
+  MSGPACK_DEFINE(backend)
+};
+
 using Event =
     std::variant<Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
                  DatagramReceived, PlatformReplied, CallerRequested,
@@ -209,7 +230,8 @@
                  HeadObserved, MemberChanged, LocalBackendChanged,
                  EventLoopStalled, DrainStarted, AnswerBytesWritten,
                  ClaimRequested, ClaimGranted, ClaimDenied, ClaimUnused,
-                 ClaimWritten, CallEnded, ConfigurationRelayChanged>;
+                 ClaimWritten, CallEnded, ConfigurationRelayChanged,
+                 EarlierBackendKnown, OwnRecordReceived, LeaveRecorded>;
 
 }  // namespace buckthorncart
 
--- a/Source/Kernel/metric_help.cc
+++ b/Source/Kernel/metric_help.cc
@@ -21,6 +21,13 @@
     {"callers_left_total", "Calls whose caller disconnected early, calls."},
     {"membership_invalid_records_total",
      "Member records with a field out of range, records."},
+    {"leave_record_reads_total",
+     "Reads of the record that the backend server has left, calls."},
+    {"leave_record_writes_total",
+     "Writes of the record that the backend server has left, calls."},
+    {"leave_record_held_by_peers_total",
+     "Departures recorded by other daemons in place of the platform, "
+     "departures."},
     {"calls_active", "Calls without a complete answer, calls."},
     {"answer_pauses_total",
      "Pauses in reading an answer because of a slow caller, pauses."},
--- a/Source/Plugins/Admission/admission.h
+++ b/Source/Plugins/Admission/admission.h
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -93,6 +95,14 @@
   void HandlePeerLost(Context& ctx, Address peer);
   void HandleDeadline(Context& ctx, uint64_t run_id);
   void HandleAnnouncement(Context& ctx, const OperatorRequested& request);
+  /// Answers the announcement `request`, which has been taken over. That the
+  /// backend server is leaving is acknowledged once it is recorded outside of
+  /// this process.
+  void AnswerAnnouncement(Context& ctx, uint64_t request);
+  void HandleLeaveRecorded(Context& ctx, const BackendAnnouncement& backend);
+  void HandleLeaveAnswerTimeout(Context& ctx, uint64_t request);
+  void HandleEarlierBackend(Context& ctx, const BackendAnnouncement& earlier);
+  void TakeOver(Context& ctx, BackendAnnouncement backend);
   void SetBackend(Context& ctx, BackendAnnouncement backend);
   Errc ReasonToRefuse(Context& ctx, const Call& call);
   void HandleTick(Context& ctx);
@@ -138,6 +148,13 @@
 
   BackendAnnouncement backend_;
   Time last_announcement_{};
+  /// Whether it is recorded outside of this process that the backend server is
+  /// leaving.
+  bool leave_recorded_ = false;
+  /// Announcements to be answered when it is.
+  std::set<uint64_t> unanswered_leaves_;
+  /// The last announcement that waits until the earlier state is known.
+  std::optional<ReceivedAnnouncement> held_announcement_;
   std::map<uint64_t, Run> runs_;
   std::map<CallKey, uint64_t> run_of_call_;
   RunQueue<Rules> queue_;
@@ -157,6 +174,7 @@
 
 }  // namespace buckthorncart
 
+#include "Plugins/Admission/admission_announcements_inl.h"
 #include "Plugins/Admission/admission_bodies_inl.h"
 #include "Plugins/Admission/admission_inl.h"
 #include "Plugins/Admission/admission_log_inl.h"
--- a/Source/Plugins/Admission/admission_inl.h
+++ b/Source/Plugins/Admission/admission_inl.h
@@ -21,7 +21,9 @@
 
 template <RequestRules Rules>
 Admission<Rules>::Admission(const KernelSettings& settings)
-    : body_transfers_(settings.link_kbps) {}
+    : body_transfers_(settings.link_kbps) {
+  announcement_filter_.AwaitRecord();
+}
 
 template <RequestRules Rules>
 void Admission<Rules>::Attach(Context& ctx) {
@@ -61,7 +63,13 @@
       HandleDeadline(ctx, timer->argument);
     } else if (timer->kind == TimerKind::kTick) {
       HandleTick(ctx);
+    } else if (timer->kind == TimerKind::kLeaveAnswer) {
+      HandleLeaveAnswerTimeout(ctx, timer->argument);
     }
+  } else if (const auto* earlier = std::get_if<EarlierBackendKnown>(&event)) {
+    HandleEarlierBackend(ctx, earlier->backend);
+  } else if (const auto* recorded = std::get_if<LeaveRecorded>(&event)) {
+    HandleLeaveRecorded(ctx, recorded->backend);
   } else if (const auto* granted = std::get_if<ClaimGranted>(&event)) {
     StartOrQueue(ctx, granted->run);
   } else if (const auto* denied = std::get_if<ClaimDenied>(&event)) {
@@ -93,52 +101,6 @@
   return is_announcement;
 }
 
-template <RequestRules Rules>
-void Admission<Rules>::HandleAnnouncement(Context& ctx,
-                                          const OperatorRequested& request) {
-  auto announcement = ParseAnnouncement(request.http.body);
-  if (!announcement) {
-    ctx.Log(LogTopic::kAnnouncementRejected,
-            {{"subject", announcement.error().subject},
-             {"expected", announcement.error().expected}},
-            LogLevel::kWarning);
-    ctx.AnswerFailure(request.request, 422, announcement.error());
-    return;
-  }
-  const std::string previous_id = backend_.id;
-  if (!announcement_filter_.Accept(*announcement, ctx.WallMilliseconds())) {
-    ctx.AnswerJson(request.request, 200, "{\"result\":\"outdated\"}\n");
-    return;
-  }
-  last_announcement_ = ctx.Now();
-  connect_backoff_.Reset();
-  const bool restarted =
-      !previous_id.empty() && announcement->backend.id != previous_id;
-  if (restarted) ReportCrashSuspects(ctx);
-  SetBackend(ctx, std::move(announcement->backend));
-  ctx.AnswerJson(request.request, 200, "{\"result\":\"announced\"}\n");
-}
-
-template <RequestRules Rules>
-void Admission<Rules>::SetBackend(Context& ctx, BackendAnnouncement backend) {
-  if (backend == backend_) return;
-  if (backend.state != backend_.state) {
-    ctx.Log(LogTopic::kBackendState,
-            {{"service", backend.service},
-             {"id", backend.id},
-             {"state", std::string(NameOf(backend.state))}});
-  }
-  backend_ = std::move(backend);
-  ctx.Raise(LocalBackendChanged{backend_});
-  if (backend_.state == BackendState::kReady) {
-    StartQueued(ctx);
-  } else if (backend_.state == BackendState::kDraining) {
-    // Requests that have not started can run at another backend server.
-    RefuseQueued(ctx, Errc::kDraining);
-    RefuseAwaitingBody(ctx, Errc::kDraining);
-  }
-}
-
 template <RequestRules Rules>
 Errc Admission<Rules>::ReasonToRefuse(Context& ctx, const Call& call) {
   if (ctx.Shared().draining) return Errc::kDraining;
--- a/Source/Plugins/Admission/announcement_filter.h
+++ b/Source/Plugins/Admission/announcement_filter.h
@@ -15,53 +15,60 @@
 /// backend server that has announced that it is draining or absent cannot
 /// become ready again within the same start. A final announcement that does not
 /// name a start ends every start of that id up to the moment of its arrival.
+///
+/// A start that looks outdated, because a wall clock was set back or a number
+/// was wrong, is taken once it has announced itself for longer than an
+/// announcement can be delayed, while the recorded start has been silent.
 class AnnouncementFilter {
  public:
+  /// Until `Restore` is called, a start is accepted only when it has announced
+  /// itself for that long, unless it announces no id.
+  void AwaitRecord() { awaiting_record_ = true; }
+  bool IsAwaitingRecord() const { return awaiting_record_; }
+
+  /// Takes over what an earlier process of this daemon knew; `earlier` has no
+  /// id if that is nothing. May be called again with other sources, the newest
+  /// of which applies. Returns true if the start that is known last has thereby
+  /// ended.
+  bool Restore(const BackendAnnouncement& earlier);
+
   /// Returns true if `announcement`, which arrived at `wall_ms` (milliseconds
   /// since the epoch), is up to date, and records it. The order is not checked
   /// if it has neither a start time nor a sequence number.
-  bool Accept(const ReceivedAnnouncement& announcement, uint64_t wall_ms) {
-    const BackendAnnouncement& backend = announcement.backend;
-    if (backend.started_ms != 0 && backend.started_ms < started_ms_) {
-      return false;
-    }
-    const bool same_start =
-        backend.started_ms == started_ms_ && backend.id == id_;
-    const bool has_sequence = announcement.sequence != 0;
-    if (same_start && has_sequence && announcement.sequence <= sequence_)
-      return false;
-    const bool is_leaving = backend.state == BackendState::kDraining ||
-                            backend.state == BackendState::kAbsent;
-    // The final announcement of another instance does not apply to the current
-    // one.
-    const bool other_instance =
-        !id_.empty() && !backend.id.empty() && backend.id != id_;
-    if (backend.state == BackendState::kAbsent && other_instance) return false;
-    if (same_start && !id_.empty() && leaving_ && !is_leaving) return false;
-    if (!is_leaving && HasEnded(backend)) return false;
-    leaving_ = is_leaving;
-    id_ = backend.id;
-    if (backend.started_ms != 0) started_ms_ = backend.started_ms;
-    ended_at_ms_ = is_leaving && started_ms_ == 0 ? wall_ms : 0;
-    sequence_ = announcement.sequence;
-    return true;
+  bool Accept(const ReceivedAnnouncement& announcement, uint64_t wall_ms);
+
+  /// Start time up to which the starts of the announced id have ended,
+  /// milliseconds since the epoch; 0 if none has.
+  uint64_t EndedThrough() const { return ended_through_ms_; }
+
+  static bool IsLeaving(BackendState state) {
+    return state == BackendState::kDraining || state == BackendState::kAbsent;
   }
 
  private:
-  /// Returns true if `backend` is a start that a final announcement without a
-  /// start time has ended.
-  bool HasEnded(const BackendAnnouncement& backend) const {
-    return ended_at_ms_ != 0 && !id_.empty() && backend.id == id_ &&
-           backend.started_ms <= ended_at_ms_;
-  }
+  /// A start that announces itself although it looks outdated.
+  struct Candidate {
+    std::string id;
+    uint64_t started_ms = 0;
+    uint64_t sequence = 0;
+    /// Arrival of its first announcement.
+    uint64_t since_ms = 0;
+  };
+
+  bool IsUpToDate(const ReceivedAnnouncement& announcement,
+                  uint64_t wall_ms) const;
+  bool HasEnded(const BackendAnnouncement& backend) const;
+  bool TakesOver(const ReceivedAnnouncement& announcement, uint64_t wall_ms);
+  void Record(const ReceivedAnnouncement& announcement, uint64_t wall_ms);
 
   std::string id_;
   uint64_t started_ms_ = 0;
   uint64_t sequence_ = 0;
-  bool leaving_ = false;
-  /// When a final announcement arrived while the start time was unknown; 0 if
-  /// none did.
-  uint64_t ended_at_ms_ = 0;
+  uint64_t ended_through_ms_ = 0;
+  bool awaiting_record_ = false;
+  /// False while all that is known comes from `Restore`.
+  bool accepted_any_ = false;
+  Candidate candidate_;
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/Membership/membership.h
+++ b/Source/Plugins/Membership/membership.h
@@ -65,6 +65,8 @@
     /// Daemon that requested this indirect probe; unset for a direct probe.
     Address requester;
     uint64_t requester_sequence = 0;
+    /// Sequence number of the own record in the probe; 0 if it has none.
+    uint64_t own_sequence = 0;
   };
 
   void Start(Context& ctx, uint64_t wall_ms);
@@ -100,6 +102,8 @@
   void StoreRecord(Context& ctx, const Member& member, bool disseminate);
   void SetStatus(Context& ctx, Address address, MemberStatus status);
   void UpdateSelf(Context& ctx);
+  void HandleLocalBackend(Context& ctx, const BackendAnnouncement& backend);
+  void HandleOwnRecord(Context& ctx, const Member& record);
   void Leave(Context& ctx);
   Gossip MakeGossip(Context& ctx, Address to);
   const BucketDigests& CurrentBucketDigests(Context& ctx);
@@ -118,6 +122,9 @@
   BucketDigests bucket_digests_{};
   bool bucket_digests_stale_ = true;
   uint64_t next_sequence_ = 0;
+  /// Whether others may receive the record of this daemon. It replaces that of
+  /// an earlier process, which must be read before.
+  bool published_ = false;
   uint64_t scan_tag_ = 0;
   uint64_t announcement_tag_ = 0;
   /// Whether the platform has stored the row of this daemon.
--- a/Source/Plugins/Membership/membership_inl.h
+++ b/Source/Plugins/Membership/membership_inl.h
@@ -8,6 +8,7 @@
 
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
+#include "Plugins/Admission/leave_record.h"
 #include "Plugins/Membership/membership.h"
 #include "Wire/codec.h"
 
@@ -57,12 +58,13 @@
   } else if (const auto* replied = std::get_if<PlatformReplied>(&event)) {
     HandlePlatform(ctx, *replied);
   } else if (const auto* backend = std::get_if<LocalBackendChanged>(&event)) {
-    ctx.Shared().self.backend = backend->backend;
-    UpdateSelf(ctx);
+    HandleLocalBackend(ctx, backend->backend);
   } else if (const auto* relay =
                  std::get_if<ConfigurationRelayChanged>(&event)) {
     ctx.Shared().self.relays = relay->can_relay;
     UpdateSelf(ctx);
+  } else if (std::holds_alternative<EarlierBackendKnown>(event)) {
+    if (!std::exchange(published_, true)) UpdateSelf(ctx);
   } else if (std::holds_alternative<DrainStarted>(event)) {
     Leave(ctx);
   }
@@ -244,9 +246,14 @@
 void Membership<Rules>::SendProbe(Context& ctx, Address target,
                                   PendingProbe pending) {
   const uint64_t sequence = ++next_sequence_;
+  Gossip gossip = MakeGossip(ctx, target);
+  for (const Member& member : gossip.members) {
+    if (member.address != ctx.Settings().self) continue;
+    pending.own_sequence = member.sequence;
+  }
   pending_.emplace(sequence, pending);
   counters_.Add(MembershipCounter::kProbes);
-  ctx.SendUdp(target, Probe{sequence, MakeGossip(ctx, target)});
+  ctx.SendUdp(target, Probe{sequence, std::move(gossip)});
   const KernelSettings& settings = ctx.Settings();
   ctx.SetTimerIn(std::chrono::milliseconds(settings.probe_timeout_ms),
                  TimerKind::kProbeTimeout, sequence);
@@ -344,12 +351,29 @@
   const bool leaving = member != ctx.Shared().members.end() &&
                        member->second.status == MemberStatus::kLeaving;
   if (leaving) suspected_since_.erase(probe.target);
+  if (probe.own_sequence > 0) {
+    ctx.Raise(OwnRecordReceived{probe.target, probe.own_sequence});
+  }
   if (!probe.requester.IsSet()) return;
   ctx.SendUdp(probe.requester,
               ProbeAck{probe.requester_sequence, ack.incarnation,
                        MakeGossip(ctx, probe.requester)});
 }
 
+template <MembershipRules Rules>
+void Membership<Rules>::HandleLocalBackend(Context& ctx,
+                                           const BackendAnnouncement& backend) {
+  const BackendAnnouncement previous =
+      std::exchange(ctx.Shared().self.backend, backend);
+  UpdateSelf(ctx);
+  const bool leaves =
+      backend.left && !(previous.left && IsSameStart(previous, backend));
+  if (!leaves) return;
+  // Sent immediately: its acknowledgement to the backend server may depend on
+  // the daemons that know of it.
+  for (size_t i = 0; i < kIndirectProbes; ++i) ProbeNext(ctx);
+}
+
 template <MembershipRules Rules>
 void Membership<Rules>::Leave(Context& ctx) {
   ctx.Shared().self.status = MemberStatus::kLeaving;
--- a/Source/Plugins/Membership/membership_table_inl.h
+++ b/Source/Plugins/Membership/membership_table_inl.h
@@ -10,6 +10,7 @@
 #include "Base/digest.h"
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
+#include "Plugins/Admission/leave_record.h"
 #include "Plugins/Membership/membership.h"
 #include "Plugins/Membership/membership_inl.h"
 #include "Wire/codec.h"
@@ -105,14 +106,18 @@
   // Records of a full table are not disseminated, since other members have
   // already received them.
   for (const Member& member : push->members) Merge(ctx, member, false);
+  // A peer that has no record of an earlier process knows of none.
+  if (!published_) ctx.Raise(EarlierBackendKnown{});
 }
 
-/// All records except those of gone members. The record of `requester` itself
-/// is included even if gone, so that it can refute it.
+/// All records except those of gone members and, before it is published, that
+/// of this daemon. The record of `requester` itself is included even if gone,
+/// so that it can refute it.
 template <MembershipRules Rules>
 std::vector<Member> Membership<Rules>::RecordsFor(Context& ctx,
                                                   Address requester) const {
-  std::vector<Member> members = {ctx.Shared().self};
+  std::vector<Member> members;
+  if (published_) members.push_back(ctx.Shared().self);
   for (const auto& [address, member] : ctx.Shared().members) {
     if (member.status == MemberStatus::kGone && address != requester) continue;
     members.push_back(member);
@@ -132,7 +137,7 @@
   }
   if (disseminate) updates_.RecordDuplicate(member);
   if (member.address == ctx.Settings().self) {
-    RefuteIfNeeded(ctx, member);
+    HandleOwnRecord(ctx, member);
     return;
   }
   const auto it = ctx.Shared().members.find(member.address);
@@ -145,6 +150,13 @@
   StoreRecord(ctx, member, disseminate);
 }
 
+template <MembershipRules Rules>
+void Membership<Rules>::HandleOwnRecord(Context& ctx, const Member& record) {
+  const bool is_earlier = record.incarnation != ctx.Shared().self.incarnation;
+  if (is_earlier) ctx.Raise(EarlierBackendKnown{record.backend});
+  RefuteIfNeeded(ctx, record);
+}
+
 template <MembershipRules Rules>
 void Membership<Rules>::RefuteIfNeeded(Context& ctx, const Member& record) {
   Member& self = ctx.Shared().self;
@@ -206,7 +218,7 @@
   Member& self = ctx.Shared().self;
   ++self.sequence;
   bucket_digests_stale_ = true;
-  updates_.Add(self, ctx.Shared().members.size());
+  if (published_) updates_.Add(self, ctx.Shared().members.size());
 }
 
 template <MembershipRules Rules>
@@ -256,7 +268,8 @@
   }
 }
 
-/// Deletes the announcement row of `address`. The row of another daemon is
+/// Deletes the announcement row of `address` and, if that is another daemon,
+/// the record that its backend server has left. The row of another daemon is
 /// deleted only by the `kAnnouncementCleaners` daemons that rank highest in the
 /// rendezvous hash of its address, so that the load on the platform does not
 /// grow with the fleet.
@@ -273,9 +286,11 @@
     if (weight(candidate) > weight(self)) ++higher_ranked;
   }
   if (address != self && higher_ranked >= kAnnouncementCleaners) return;
-  ctx.Shared().platform->Submit(
-      ctx, PlatformPriority::kBackground,
-      Transaction{{}, {{AnnouncementKey(address), std::nullopt}}});
+  std::vector<Write> writes = {{AnnouncementKey(address), std::nullopt}};
+  if (address != self)
+    writes.push_back({LeaveRecordKey(address), std::nullopt});
+  ctx.Shared().platform->Submit(ctx, PlatformPriority::kBackground,
+                                Transaction{{}, std::move(writes)});
 }
 
 }  // namespace buckthorncart
--- a/Source/Wire/member.h
+++ b/Source/Wire/member.h
@@ -54,9 +54,13 @@
   std::string id = {};
   /// Start time, in milliseconds since the epoch; 0 if not announced.
   uint64_t started_ms = 0;
+  /// True if the backend server has announced that it is leaving. All starts of
+  /// its id up to `started_ms` have then ended, also after a restart of the
+  /// daemon.
+  bool left = false;
 
   bool operator==(const BackendAnnouncement&) const = default;
-  MSGPACK_DEFINE(service, state, slots, labels, id, started_ms)
+  MSGPACK_DEFINE(service, state, slots, labels, id, started_ms, left)
 };
 
 /// A daemon and its backend server.
--- a/Tests/Requests/request_parts_test.cc
+++ b/Tests/Requests/request_parts_test.cc
@@ -71,6 +71,28 @@
   CHECK(filter.Accept(Announce("b", kWallMs - 1, 12), kWallMs + 2));
 }
 
+TEST_CASE("backend life: one odd announcement does not lock the server out") {
+  AnnouncementFilter filter;
+  CHECK(filter.Accept(Announce("a", 100, 7), kWallMs));
+  // Of another writer: a later start, a start in the future, a large number.
+  CHECK_FALSE(filter.Accept(Announce("a", kWallMs * 2, 1), kWallMs));
+  CHECK(filter.Accept(Announce("a", 100, 8), kWallMs + 1));
+  CHECK(filter.Accept(Announce("a", 100, 1'000'000), kWallMs + 2));
+  for (uint64_t i = 0; i < 3; ++i) {
+    CHECK_FALSE(
+        filter.Accept(Announce("a", 100, 9 + i), kWallMs + 3 + i * 1'500));
+  }
+  CHECK(filter.Accept(Announce("a", 100, 12), kWallMs + 3 + 4'500));
+}
+
+TEST_CASE("backend life: a start that has ended never takes over") {
+  AnnouncementFilter filter;
+  CHECK(filter.Accept(Announce("a", 100, 7, BackendState::kDraining), kWallMs));
+  for (uint64_t i = 0; i < 20; ++i) {
+    CHECK_FALSE(filter.Accept(Announce("a", 100, 8 + i), kWallMs + i * 1'500));
+  }
+}
+
 TEST_CASE(
     "split picker: every service gets its share after any number of requests") {
   Route route;
