Take no repeated refusal for the answer to a request that is sent again

Report of other operators: a server wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that ran.

Can it happen here: a repeated refusal of another request is dropped by its id (shown by a test that passed before). But a refused request that is sent to the same server again on the same connection has the same id, so that the old refusal was taken for its answer while the server ran it; and a refusal without an id was taken for the answer to any request. By test: status 503 was delivered where the server answers 200.

Change: a request is not sent on a connection on which one with its id has failed, and where a peer has named ids, an answer without one breaks the connection, which promises nothing.

--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -21,7 +21,9 @@
 
 void HttpClient::Send(uint64_t id, Address to, const HttpRequest& request,
                       bool repeatable) {
-  Connection* connection = TakeIdle(to, repeatable);
+  const std::string request_id(
+      FindHeader(request.headers, settings_.request_id_header));
+  Connection* connection = TakeIdle(to, request_id, repeatable);
   if (connection == nullptr) connection = &Connect(to);
   connections_by_request_[id] = connection;
   connection->Send(id, request);
@@ -33,21 +35,25 @@
   });
 }
 
-HttpClient::Connection* HttpClient::TakeIdle(Address to, bool repeatable) {
+HttpClient::Connection* HttpClient::TakeIdle(Address to,
+                                             const std::string& request_id,
+                                             bool repeatable) {
   const auto it = idle_connections_.find(to);
   if (it == idle_connections_.end()) return nullptr;
   const Time now = Loop::Now();
   std::vector<Connection*>& idle = it->second;
-  // Connections are ordered by last use, so that the last one has been idle
-  // for the shortest time: if it has expired, all have.
-  while (!idle.empty()) {
-    Connection* connection = idle.back();
-    if (connection->IsUsable(now, repeatable)) {
-      idle.pop_back();
-      return connection;
+  // Connections are ordered by last use: those before one that has been idle
+  // for too long have been idle for longer.
+  for (size_t i = idle.size(); i-- > 0;) {
+    Connection* connection = idle[i];
+    if (!connection->IsUsable(now, true)) {
+      connection->Drop();
+      continue;
     }
-    if (connection->IsUsable(now, true)) return nullptr;
-    connection->Drop();
+    if (!connection->IsUsable(now, repeatable)) return nullptr;
+    if (connection->HasFailed(request_id)) continue;
+    idle.erase(idle.begin() + static_cast<ptrdiff_t>(i));
+    return connection;
   }
   return nullptr;
 }
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -35,7 +35,9 @@
   size_t max_buffered_answer_bytes = 0;
   /// Lower-case name of the header that carries the ID of the request which an
   /// answer belongs to; empty if answers carry none. An answer with the ID of
-  /// another request is dropped.
+  /// another request is dropped. A request is not sent on a connection on which
+  /// one with its ID has failed before, since a late answer to that one could
+  /// not be told from its own.
   std::string request_id_header;
 };
 
@@ -65,7 +67,8 @@
  private:
   class Connection;
 
-  Connection* TakeIdle(Address to, bool repeatable);
+  Connection* TakeIdle(Address to, const std::string& request_id,
+                       bool repeatable);
   Connection& Connect(Address to);
   void AddIdle(Connection& connection);
   void Remove(Connection& connection);
--- a/Source/Net/http_connection.h
+++ b/Source/Net/http_connection.h
@@ -3,6 +3,10 @@
 /// A connection of the HTTP client. Included by http_client.cc only.
 
 #include <algorithm>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <string>
 #include <utility>
 
 #include "Net/http_client.h"
@@ -44,6 +48,13 @@
     return idle < (repeatable ? idle_limit_ : kNonRepeatableIdleLimit);
   }
 
+  /// Returns true if a request with this ID has failed on the connection.
+  bool HasFailed(const std::string& request_id) const {
+    if (request_id.empty()) return false;
+    return std::find(failed_ids_.begin(), failed_ids_.end(),
+                     std::hash<std::string>{}(request_id)) != failed_ids_.end();
+  }
+
   /// Closes the connection without notifying the handler.
   void Drop() {
     if (stream_ != nullptr) std::exchange(stream_, nullptr)->Abort();
@@ -81,7 +92,7 @@
     }
     const bool complete = end == StreamEnd::kFinished && reader_.HasHead() &&
                           reader_.Finish() == ReadState::kWhole &&
-                          BelongsToRequest(reader_.Peek());
+                          (head_delivered_ || IsOwnAnswer(reader_.Peek()));
     if (!complete) {
       Fail();
       return;
@@ -103,11 +114,37 @@
   /// Bytes of answers to earlier requests that are read for one request.
   static constexpr size_t kMaxDiscardedBytes = 4U << 20U;
 
+  /// Number of requests that have failed on a connection and are remembered.
+  static constexpr size_t kMaxFailedIds = 256;
+  static constexpr uint16_t kFirstFailureStatus = 400;
+
   bool BelongsToRequest(const Headers& headers) const {
-    if (request_id_.empty()) return true;
-    const std::string_view answer_request_id =
-        FindHeader(headers, client_.settings_.request_id_header);
-    return answer_request_id.empty() || answer_request_id == request_id_;
+    const std::string_view id = IdOf(headers);
+    return request_id_.empty() || id.empty() || id == request_id_;
+  }
+
+  std::string_view IdOf(const Headers& headers) const {
+    const std::string& name = client_.settings_.request_id_header;
+    return name.empty() ? std::string_view{} : FindHeader(headers, name);
+  }
+
+  /// Returns true if the peer has named the request in an earlier answer and
+  /// does not in this one, which therefore may belong to any request.
+  bool LacksId(const Headers& headers) {
+    if (request_id_.empty()) return false;
+    const bool has_id = !IdOf(headers).empty();
+    peer_sends_ids_ = peer_sends_ids_ || has_id;
+    return peer_sends_ids_ && !has_id;
+  }
+
+  bool IsOwnAnswer(const Headers& headers) {
+    return !LacksId(headers) && BelongsToRequest(headers);
+  }
+
+  void RememberFailed() {
+    if (request_id_.empty()) return;
+    failed_ids_.push_back(std::hash<std::string>{}(request_id_));
+    if (failed_ids_.size() > kMaxFailedIds) failed_ids_.pop_front();
   }
 
   void Read() {
@@ -118,9 +155,15 @@
         Fail();
         return;
       }
-      if (reader_.HasHead() && !BelongsToRequest(reader_.Peek())) {
-        if (!DiscardAnswer(state)) return;
-        continue;
+      if (reader_.HasHead() && !head_delivered_) {
+        if (LacksId(reader_.Peek())) {
+          Fail();
+          return;
+        }
+        if (!BelongsToRequest(reader_.Peek())) {
+          if (!DiscardAnswer(state)) return;
+          continue;
+        }
       }
       if (state == ReadState::kPartial) {
         DeliverAvailable();
@@ -162,6 +205,7 @@
   void DeliverFinal() {
     AnswerPart part = reader_.Take();
     const uint64_t id = id_;
+    if (part.status >= kFirstFailureStatus) RememberFailed();
     // If the answer is complete before the request has been sent completely,
     // the rest of the request is still to be written, and the connection cannot
     // be reused.
@@ -212,6 +256,9 @@
   std::string method_;
   bool head_delivered_ = false;
   size_t discarded_bytes_ = 0;
+  bool peer_sends_ids_ = false;
+  /// Hashes of the IDs of requests that have failed on this connection.
+  std::deque<size_t> failed_ids_;
   Time idle_since_{};
   Duration idle_limit_ = kDefaultIdleLimit;
 };
