Take no announcement with a field missing

Cause: the translation required four of the fields, and a missing born became the start 0, which the order of starts did not apply to; its sequence was then taken over.

--- a/Source/Plugins/Admission/announcement_filter.cc
+++ b/Source/Plugins/Admission/announcement_filter.cc
@@ -60,6 +60,11 @@
   if (same_start && has_sequence && announcement.sequence <= sequence_) {
     return false;
   }
+  // A backend server that has named its start does so in each announcement.
+  const bool lacks_start = backend.started_ms == 0 && started_ms_ != 0 &&
+                           backend.id == id_ &&
+                           backend.state != BackendState::kAbsent;
+  if (lacks_start) return false;
   // The final announcement of another instance does not apply to the current
   // one.
   const bool other_instance =
--- a/Tests/Platform/odd_input_test.cc
+++ b/Tests/Platform/odd_input_test.cc
@@ -67,6 +67,21 @@
   CHECK(IsRejected(Translated(target, padded.dump())));
 }
 
+// Review case 5: a heartbeat with fields missing brought an upstream that was
+// draining back into use.
+TEST_CASE("odd input: a heartbeat without one of its fields is rejected") {
+  const std::string target =
+      "/buckthorncart/rpc?call=instances.heartbeat&of=i-1";
+  for (const char* field : {"service", "address", "zone", "version", "slots",
+                            "state", "coldRemainingS", "sequence"}) {
+    json heartbeat = json::parse(kHeartbeat);
+    heartbeat.erase(field);
+    CHECK(IsRejected(Translated(target, heartbeat.dump())));
+    heartbeat[field] = json::object();
+    CHECK(IsRejected(Translated(target, heartbeat.dump())));
+  }
+}
+
 TEST_CASE("odd input: an unknown call is no announcement") {
   const HttpRequest request =
       Translated("/buckthorncart/rpc?call=other&of=i-1",
--- a/Tests/Requests/request_parts_test.cc
+++ b/Tests/Requests/request_parts_test.cc
@@ -85,6 +85,18 @@
   CHECK(filter.Accept(Announce("a", 100, 12), kWallMs + 3 + 4'500));
 }
 
+// Review case 5: an announcement that names no start got round its order.
+TEST_CASE("backend life: a server that names its start does so always") {
+  AnnouncementFilter filter;
+  CHECK(filter.Accept(Announce("a", 100, 7), kWallMs));
+  CHECK_FALSE(filter.Accept(Announce("a", 0, 900), kWallMs + 1));
+  CHECK_FALSE(
+      filter.Accept(Announce("a", 0, 901, BackendState::kDraining), kWallMs));
+  CHECK(filter.Accept(Announce("a", 100, 8, BackendState::kDraining), kWallMs));
+  CHECK_FALSE(filter.Accept(Announce("a", 0, 902), kWallMs + 2));
+  CHECK(filter.Accept(Announce("a", 0, 0, BackendState::kAbsent), kWallMs + 3));
+}
+
 TEST_CASE("backend life: a start that has ended never takes over") {
   AnnouncementFilter filter;
   CHECK(filter.Accept(Announce("a", 100, 7, BackendState::kDraining), kWallMs));
