Refuse the calls that wait for a backend server that has left

Cause: queued calls were refused when the backend server reported draining, but not when it deregistered or its lease expired.

Change: they are refused in all three cases, at once, and run elsewhere.

--- a/Source/Plugins/Admission/admission_announcements_inl.h
+++ b/Source/Plugins/Admission/admission_announcements_inl.h
@@ -128,10 +128,11 @@
   ctx.Raise(LocalBackendChanged{backend_});
   if (backend_.state == BackendState::kReady) {
     StartQueued(ctx);
-  } else if (backend_.state == BackendState::kDraining) {
+  } else if (AnnouncementFilter::IsLeaving(backend_.state)) {
     // Requests that have not started can run at another backend server.
-    RefuseQueued(ctx, Errc::kDraining);
-    RefuseAwaitingBody(ctx, Errc::kDraining);
+    const Errc reason = backend_.left ? Errc::kDraining : Errc::kNotReady;
+    RefuseQueued(ctx, reason);
+    RefuseAwaitingBody(ctx, reason);
   }
 }
 
--- a/Tests/Requests/drain_test.cc
+++ b/Tests/Requests/drain_test.cc
@@ -1,5 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <functional>
+#include <vector>
+
 #include "Requests/request_fleet.h"
 
 namespace buckthorncart {
@@ -128,5 +132,47 @@
   }
 }
 
+/// Fills one of two backend servers, whose runs take long, so that calls wait
+/// there, and ends it by `end`. Returns the time until the last call is
+/// answered or refused.
+Duration TimeUntilWaitingCallsEnd(
+    const std::function<void(RequestFleet&, uint32_t)>& end) {
+  constexpr uint32_t kCalls = 16;
+  constexpr uint32_t kDeadlineMs = 30'000;
+  RequestFleet test(PluginsWith<StandardRequestRules>, {1, 2, kSlots});
+  const uint32_t leaver = test.FirstServer();
+  test.fleet.Behaviours()[leaver].time = 20s;
+  test.fleet.Behaviours()[leaver + 1].time = kRunTime;
+  std::vector<uint64_t> calls;
+  for (uint32_t i = 0; i < kCalls; ++i) {
+    calls.push_back(test.Get(1, "/proofs", kDeadlineMs));
+  }
+  test.fleet.Advance(10ms);
+  const Time start = test.fleet.Now();
+  end(test, leaver);
+  const auto unanswered = [&] {
+    return std::count_if(calls.begin(), calls.end(), [&](uint64_t call) {
+      return !test.fleet.CallerAnswers().contains(call);
+    });
+  };
+  // The calls that run at the leaver keep its slots for 20 s.
+  test.fleet.AdvanceUntil([&] { return unanswered() <= kSlots; }, 15s);
+  return test.fleet.Now() - start;
+}
+
+// Review case 3: calls that waited for a slot of a backend server that had
+// deregistered waited until their deadline.
+TEST_CASE("drain: calls that wait for a server that deregisters go elsewhere") {
+  CHECK(TimeUntilWaitingCallsEnd([](RequestFleet& test, uint32_t leaver) {
+          test.fleet.Announce(leaver, "catalogus", "absent");
+        }) < 1s);
+}
+
+TEST_CASE("drain: calls that wait for a server that drains go elsewhere") {
+  CHECK(TimeUntilWaitingCallsEnd([](RequestFleet& test, uint32_t leaver) {
+          test.Announce(leaver, "draining");
+        }) < 1s);
+}
+
 }  // namespace
 }  // namespace buckthorncart
