Cancel an answer of no use that has no end

Cause: a run ends when its answer turns out to be a refusal or to be broken, but the rest of the answer was still to be read, paused, without an end.

Change: the request to the backend server is cancelled if more would follow.

Evidence: "admission: an answer of no use that has no end is cancelled": 0 cancellations before, 1 after, for a refusal and for a broken answer.

--- a/Source/Plugins/Admission/admission_runs_inl.h
+++ b/Source/Plugins/Admission/admission_runs_inl.h
@@ -32,11 +32,15 @@
     RefuseQueued(ctx, Errc::kBackendServerFailed);
     return;
   }
-  if (!run.head_sent && IsShed(answered.part)) {
+  const bool shed = !run.head_sent && IsShed(answered.part);
+  const bool broken = answered.fault == BackendFault::kConnectionBroken;
+  // What follows is of no use, and might have no end.
+  const bool has_more = answered.part.end == AnswerEnd::kMore;
+  if ((shed || broken) && has_more) ctx.Emit(CancelBackendCall{answered.run});
+  if (shed) {
     HandleShed(ctx, answered.run);
     return;
   }
-  const bool broken = answered.fault == BackendFault::kConnectionBroken;
   if (broken && !run.head_sent) {
     counters_.Add(AdmissionCounter::kBroken);
     LogFailedRun(ctx, run, "connection-broken", 0);
--- a/Tests/Requests/admission_test.cc
+++ b/Tests/Requests/admission_test.cc
@@ -177,5 +177,27 @@
   CHECK(!InteractiveIsAdmittedToFullQueue<NoClasses>());
 }
 
+// Review: a server that never ended an answer that was of no use kept its
+// connection, and a slot, for good.
+TEST_CASE("admission: an answer of no use that has no end is cancelled") {
+  for (const bool refuses : {true, false}) {
+    RequestFleet test(PluginsWith<StandardRequestRules>, {1, 1, 4});
+    AnswerPart part;
+    part.status = refuses ? 503 : 200;
+    if (refuses) part.headers = {{std::string(header::kOutcome), "not-run"}};
+    part.body = "endless";
+    BackendBehaviour& behaviour = test.fleet.Behaviours()[test.FirstServer()];
+    behaviour.never_answers = true;
+    const uint64_t call = test.Get(1, "/proofs", 2'000);
+    test.fleet.Advance(20ms);
+    const BackendFault fault =
+        refuses ? BackendFault::kNone : BackendFault::kConnectionBroken;
+    test.fleet.Inject(test.FirstServer(), BackendAnswered{1, part, fault});
+    CHECK(test.fleet.Cancelled() == 1);
+    test.fleet.Advance(2s);
+    CHECK(!test.IsWhole(call));
+  }
+}
+
 }  // namespace
 }  // namespace buckthorncart
