--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -52,6 +52,7 @@
     }
     if (!connection->IsUsable(now, repeatable)) return nullptr;
     if (connection->HasFailed(request_id)) continue;
+    if (!repeatable && connection->MayRepeatFailure(now)) continue;
     idle.erase(idle.begin() + static_cast<ptrdiff_t>(i));
     return connection;
   }
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -37,7 +38,9 @@
   /// answer belongs to; empty if answers carry none. An answer with the ID of
   /// another request is dropped. A request is not sent on a connection on which
   /// one with its ID has failed before, since a late answer to that one could
-  /// not be told from its own.
+  /// not be told from its own; nor is one that must not run twice for some
+  /// time after a failed answer without the ID, if the peer sends IDs
+  /// otherwise.
   std::string request_id_header;
 };
 
@@ -84,6 +87,8 @@
   std::unordered_map<uint64_t, Connection*> connections_by_request_;
   /// Idle connections, ordered by last use; the most recent is at the end.
   std::map<Address, std::vector<Connection*>> idle_connections_;
+  /// Peers that have named the request in an answer.
+  std::set<Address> peers_with_ids_;
   uint64_t connections_opened_ = 0;
 };
 
--- a/Source/Net/http_connection.h
+++ b/Source/Net/http_connection.h
@@ -55,6 +55,13 @@
                      std::hash<std::string>{}(request_id)) != failed_ids_.end();
   }
 
+  /// Returns true if the peer may repeat a failed answer that names no request,
+  /// so that the next one could not be told from it.
+  bool MayRepeatFailure(Time now) const {
+    return nameless_failure_at_ != Time{} &&
+           now - nameless_failure_at_ < kMaxRepetitionDelay;
+  }
+
   /// Closes the connection without notifying the handler.
   void Drop() {
     if (stream_ != nullptr) std::exchange(stream_, nullptr)->Abort();
@@ -92,7 +99,7 @@
     }
     const bool complete = end == StreamEnd::kFinished && reader_.HasHead() &&
                           reader_.Finish() == ReadState::kWhole &&
-                          (head_delivered_ || IsOwnAnswer(reader_.Peek()));
+                          BelongsToRequest(reader_.Peek());
     if (!complete) {
       Fail();
       return;
@@ -114,6 +121,8 @@
   /// Bytes of answers to earlier requests that are read for one request.
   static constexpr size_t kMaxDiscardedBytes = 4U << 20U;
 
+  /// Time after an answer in which the peer may send it again.
+  static constexpr Duration kMaxRepetitionDelay = 3s;
   /// Number of requests that have failed on a connection and are remembered.
   static constexpr size_t kMaxFailedIds = 256;
   static constexpr uint16_t kFirstFailureStatus = 400;
@@ -128,17 +137,16 @@
     return name.empty() ? std::string_view{} : FindHeader(headers, name);
   }
 
-  /// Returns true if the peer has named the request in an earlier answer and
-  /// does not in this one, which therefore may belong to any request.
-  bool LacksId(const Headers& headers) {
-    if (request_id_.empty()) return false;
-    const bool has_id = !IdOf(headers).empty();
-    peer_sends_ids_ = peer_sends_ids_ || has_id;
-    return peer_sends_ids_ && !has_id;
-  }
-
-  bool IsOwnAnswer(const Headers& headers) {
-    return !LacksId(headers) && BelongsToRequest(headers);
+  /// Records whether `answer` is a failed one that the peer, which names
+  /// requests otherwise, has not named.
+  void CheckId(const AnswerPart& answer) {
+    if (request_id_.empty()) return;
+    if (!IdOf(answer.headers).empty()) {
+      client_.peers_with_ids_.insert(to_);
+    } else if (answer.status >= kFirstFailureStatus &&
+               client_.peers_with_ids_.contains(to_)) {
+      nameless_failure_at_ = Loop::Now();
+    }
   }
 
   void RememberFailed() {
@@ -155,15 +163,9 @@
         Fail();
         return;
       }
-      if (reader_.HasHead() && !head_delivered_) {
-        if (LacksId(reader_.Peek())) {
-          Fail();
-          return;
-        }
-        if (!BelongsToRequest(reader_.Peek())) {
-          if (!DiscardAnswer(state)) return;
-          continue;
-        }
+      if (reader_.HasHead() && !BelongsToRequest(reader_.Peek())) {
+        if (!DiscardAnswer(state)) return;
+        continue;
       }
       if (state == ReadState::kPartial) {
         DeliverAvailable();
@@ -206,6 +208,7 @@
     AnswerPart part = reader_.Take();
     const uint64_t id = id_;
     if (part.status >= kFirstFailureStatus) RememberFailed();
+    CheckId(part);
     // If the answer is complete before the request has been sent completely,
     // the rest of the request is still to be written, and the connection cannot
     // be reused.
@@ -256,7 +259,7 @@
   std::string method_;
   bool head_delivered_ = false;
   size_t discarded_bytes_ = 0;
-  bool peer_sends_ids_ = false;
+  Time nameless_failure_at_{};
   /// Hashes of the IDs of requests that have failed on this connection.
   std::deque<size_t> failed_ids_;
   Time idle_since_{};
--- a/Tests/Support/mutation.h
+++ b/Tests/Support/mutation.h
@@ -15,7 +15,7 @@
 /// Pieces that readers tend to mishandle: bytes that are not UTF-8, deep
 /// nesting, numbers and ports out of range, line ends.
 inline std::string OddPiece(pcg32& random) {
-  static const std::array<std::string, 16> kPieces = {
+  static const std::array<std::string, 16> pieces = {
       std::string("\xff\xfe\xfa"),
       std::string("\0", 1),
       std::string("%FF%FE"),
@@ -32,7 +32,7 @@
       std::string("\xcf\xff\xff\xff\xff\xff\xff\xff\xff"),
       std::string("null"),
       std::string("\xed\xa0\x80")};
-  return kPieces[random(kPieces.size())];
+  return pieces[random(pieces.size())];
 }
 
 /// Returns `text` with one or two other bytes, most of which are small or large
