Obey a departure whatever its sequence number, and ask a slow platform once

A heartbeat of another writer with a large sequence number made the server's own departure look outdated: it was acknowledged and not obeyed until the lease expired. The first departure of a start is now taken in any order, since a start that leaves does not become ready again. "backend life: a departure applies whatever its sequence number" fails without the change.

LeaveRecord repeated its calls each second even while one was under way, and then no longer knew the reply to the earlier one. It now waits for the reply, which follows within the platform timeout.

--- a/Source/Plugins/Admission/announcement_filter.cc
+++ b/Source/Plugins/Admission/announcement_filter.cc
@@ -57,7 +57,11 @@
   const bool same_start =
       backend.started_ms == started_ms_ && backend.id == id_;
   const bool has_sequence = announcement.sequence != 0;
-  if (same_start && has_sequence && announcement.sequence <= sequence_) {
+  // A start that leaves does not become ready again, so that the order does not
+  // matter for the first such announcement.
+  const bool first_leave = IsLeaving(backend.state) && ended_through_ms_ == 0;
+  if (same_start && has_sequence && !first_leave &&
+      announcement.sequence <= sequence_) {
     return false;
   }
   // A backend server that has named its start does so in each announcement.
--- a/Source/Plugins/Admission/leave_record_inl.h
+++ b/Source/Plugins/Admission/leave_record_inl.h
@@ -72,11 +72,13 @@
 template <LeaveRecordRules Rules>
 void LeaveRecord<Rules>::HandleReply(Context& ctx,
                                      const PlatformReplied& replied) {
-  if (replied.reply.status != PlatformStatus::kOk) return;
-  if (replied.tag == read_tag_ && !read_) {
-    read_ = true;
-    HandleRow(ctx, replied.reply);
-  } else if (replied.tag == write_tag_ && !stored_) {
+  const bool ok = replied.reply.status == PlatformStatus::kOk;
+  if (replied.tag == read_tag_) {
+    read_tag_ = 0;
+    if (ok && !std::exchange(read_, true)) HandleRow(ctx, replied.reply);
+  } else if (replied.tag == write_tag_) {
+    write_tag_ = 0;
+    if (!ok) return;
     stored_ = true;
     Finish(ctx);
   }
@@ -120,10 +122,11 @@
 
 template <LeaveRecordRules Rules>
 void LeaveRecord<Rules>::HandleTick(Context& ctx) {
-  if (!read_ && ctx.Now() >= next_read_) Read(ctx);
+  // A slow platform may take longer than the interval.
+  if (!read_ && read_tag_ == 0 && ctx.Now() >= next_read_) Read(ctx);
   const bool unfinished = !leaving_.id.empty() && !stored_;
   if (!unfinished) return;
-  if (ctx.Now() >= next_write_) Write(ctx);
+  if (write_tag_ == 0 && ctx.Now() >= next_write_) Write(ctx);
   const bool platform_is_late =
       ctx.Now() - leaving_since_ >= kLeavePlatformTime;
   if (recorded_ || !platform_is_late || !IsHeldByPeers(ctx)) return;
--- a/Tests/Requests/request_parts_test.cc
+++ b/Tests/Requests/request_parts_test.cc
@@ -97,6 +97,15 @@
   CHECK(filter.Accept(Announce("a", 0, 0, BackendState::kAbsent), kWallMs + 3));
 }
 
+TEST_CASE("backend life: a departure applies whatever its sequence number") {
+  AnnouncementFilter filter;
+  CHECK(filter.Accept(Announce("a", 100, 1'000'000), kWallMs));
+  CHECK(filter.Accept(Announce("a", 100, 8, BackendState::kDraining), kWallMs));
+  CHECK_FALSE(filter.Accept(Announce("a", 100, 9), kWallMs));
+  CHECK_FALSE(
+      filter.Accept(Announce("a", 100, 7, BackendState::kDraining), kWallMs));
+}
+
 TEST_CASE("backend life: a start that has ended never takes over") {
   AnnouncementFilter filter;
   CHECK(filter.Accept(Announce("a", 100, 7, BackendState::kDraining), kWallMs));
--- a/Tests/Requests/restart_test.cc
+++ b/Tests/Requests/restart_test.cc
@@ -230,6 +230,23 @@
   CHECK(!test.IsInUse());
 }
 
+TEST_CASE("restart: a platform that takes long is asked once at a time") {
+  RestartFleet test;
+  const uint64_t before =
+      test.fleet.At(kHome).Counter("leave_record_writes_total");
+  test.fleet.SetPlatformFault(PlatformFault::kSilent);
+  CHECK(test.Announce(Departure("i-1", kBorn)) == "announced");
+  test.fleet.Advance(std::chrono::milliseconds(
+      test.fleet.At(kHome).Settings().platform_timeout_ms / 2));
+  CHECK(test.fleet.At(kHome).Counter("leave_record_writes_total") ==
+        before + 1);
+  test.fleet.SetPlatformFault(PlatformFault::kNone);
+  test.fleet.Advance(10s);
+  CHECK(test.fleet.Table()
+            .Apply(ReadRows{{LeaveRecordKey(TestSettings(kHome, "").self)}})
+            .rows.size() == 1);
+}
+
 TEST_CASE("restart: an odd row of another writer is no record") {
   RestartFleet test;
   test.fleet.Kill(kHome);
