--- a/Tests/Requests/restart_test.cc
+++ b/Tests/Requests/restart_test.cc
@@ -53,6 +53,13 @@
 
   bool IsInUse() { return State() == BackendState::kReady; }
 
+  /// Checks that an announcement from before the departure is rejected.
+  void CheckLateAnnouncement(uint64_t sequence = 2) {
+    CHECK(Announce(Announcement("i-1", "ready", kBorn, sequence)) ==
+          "outdated");
+    CHECK(!IsInUse());
+  }
+
   FakeFleet fleet;
 };
 
@@ -65,10 +72,9 @@
                                : Departure("i-1", kBorn)) == "announced");
     test.fleet.Restart(kHome);
     test.fleet.Advance(500ms);
-    CHECK(test.Announce(Announcement("i-1", "ready", kBorn, 2)) == "outdated");
+    test.CheckLateAnnouncement();
     test.fleet.Advance(10s);
-    CHECK(test.Announce(Announcement("i-1", "ready", kBorn, 4)) == "outdated");
-    CHECK(!test.IsInUse());
+    test.CheckLateAnnouncement(4);
   }
 }
 
@@ -76,8 +82,7 @@
   RestartFleet test;
   CHECK(test.Announce(Departure("i-1", kBorn)) == "announced");
   test.fleet.Restart(kHome);
-  CHECK(test.Announce(Announcement("i-1", "ready", kBorn, 2)) == "outdated");
-  CHECK(!test.IsInUse());
+  test.CheckLateAnnouncement();
   test.fleet.Advance(3s);
   CHECK(!test.IsInUse());
 }
@@ -124,8 +129,7 @@
   CHECK(test.Announce(Departure("i-1", kBorn)) == "announced");
   test.fleet.Restart(kHome);
   test.fleet.Advance(500ms);
-  CHECK(test.Announce(Announcement("i-1", "ready", kBorn, 2)) == "outdated");
-  CHECK(!test.IsInUse());
+  test.CheckLateAnnouncement();
 }
 
 TEST_CASE("restart: the platform is away at the departure only") {
@@ -136,8 +140,7 @@
   test.fleet.SetPlatformFault(PlatformFault::kNone);
   test.fleet.Restart(kHome);
   test.fleet.Advance(500ms);
-  CHECK(test.Announce(Announcement("i-1", "ready", kBorn, 2)) == "outdated");
-  CHECK(!test.IsInUse());
+  test.CheckLateAnnouncement();
 }
 
 TEST_CASE("restart: the platform is away after the restart only") {
@@ -147,8 +150,7 @@
   test.fleet.SetPlatformFault(PlatformFault::kDown);
   test.fleet.Restart(kHome);
   test.fleet.Advance(500ms);
-  CHECK(test.Announce(Announcement("i-1", "ready", kBorn, 2)) == "outdated");
-  CHECK(!test.IsInUse());
+  test.CheckLateAnnouncement();
 }
 
 TEST_CASE("restart: a departure that nobody can record is not acknowledged") {
@@ -226,8 +228,7 @@
   CHECK(test.Announce(Departure("i-1", kBorn)) == "announced");
   test.fleet.Restart(kHome, 60s);
   test.fleet.Advance(500ms);
-  CHECK(test.Announce(Announcement("i-1", "ready", kBorn, 2)) == "outdated");
-  CHECK(!test.IsInUse());
+  test.CheckLateAnnouncement();
 }
 
 TEST_CASE("restart: a platform that takes long is asked once at a time") {
