Pull a lost member record also while other peers lack it too

What callers saw: a backend server that was ready was not used by part of the fleet, for good.

Cause: a peer with an equal table put the comparison of tables off for 5 s. Daemons that lacked the same record were equal to one another and met more often than that, so neither half asked the other.

Change: a difference ends only after eight equal peers in a row.

--- a/Source/Plugins/Membership/membership.h
+++ b/Source/Plugins/Membership/membership.h
@@ -19,6 +19,7 @@
 #include "Kernel/plugin.h"
 #include "Plugins/Membership/membership_digests.h"
 #include "Plugins/Membership/membership_rules.h"
+#include "Plugins/Membership/table_agreement.h"
 #include "Plugins/Membership/update_queue.h"
 #include "Wire/datagrams.h"
 #include "Wire/member.h"
@@ -132,8 +133,7 @@
   /// Whether the rows of all daemons have been read from the platform.
   bool scanned_ = false;
   Time last_pull_{};
-  /// Last time at which the table digest of a peer was equal to the own one.
-  Time last_equal_table_{};
+  TableAgreement table_agreement_;
   Time last_event_{};
   Counters<MembershipCounter> counters_;
 };
--- a/Source/Plugins/Membership/membership_table_inl.h
+++ b/Source/Plugins/Membership/membership_table_inl.h
@@ -22,8 +22,6 @@
 /// Maximum number of datagrams sent in reply to one `MemberDigests`.
 inline constexpr size_t kMaxRecordDatagrams = 4;
 inline constexpr Duration kMinPullInterval = 2s;
-/// Records are pulled when no peer has had an equal table for this time.
-inline constexpr Duration kMismatchGracePeriod = 5s;
 /// Time after which a gone member is removed. Must be longer than a network
 /// partition between regions lasts: a removed member is no longer probed to
 /// merge the two sides, unless it is a configured peer.
@@ -47,13 +45,9 @@
 void Membership<Rules>::CompareTables(Context& ctx, Address from,
                                       const Gossip& gossip) {
   if (gossip.table_digest == 0) return;
-  if (gossip.table_digest == TableDigest(CurrentBucketDigests(ctx))) {
-    last_equal_table_ = ctx.Now();
-    return;
-  }
-  // Tables differ briefly after each change, until gossip has spread it.
-  if (ctx.Now() - last_equal_table_ >= kMismatchGracePeriod)
-    PullTable(ctx, from);
+  const bool equal =
+      gossip.table_digest == TableDigest(CurrentBucketDigests(ctx));
+  if (table_agreement_.ShouldPull(equal, ctx.Now())) PullTable(ctx, from);
 }
 
 template <MembershipRules Rules>
