End the gossip of a record after six copies in a fleet of any size

What callers saw: for seconds a backend server that had become ready was not used, and one that drained was still called, by part of a small fleet.

Cause: a copy that came back from another daemon took four transmissions off, of 9 in a fleet of four and 24 in one of 195. The acknowledgement and the next probe of one daemon ended the gossip before the others were reached, and only the comparison of tables, after more than 5 s, repaired it.

--- a/Source/Plugins/Membership/update_queue.cc
+++ b/Source/Plugins/Membership/update_queue.cc
@@ -10,15 +10,16 @@
 
 /// Number of times a record is sent for each doubling of the fleet size.
 constexpr uint32_t kTransmissionsFactor = 3;
-/// Number of transmissions that a duplicate makes unnecessary.
-constexpr uint32_t kDuplicateWeight = 4;
+/// Number of duplicates that make all transmissions of a record unnecessary.
+constexpr uint32_t kMaxDuplicates = 6;
 
 }  // namespace
 
 void UpdateQueue::Add(const Member& member, size_t fleet_size) {
   const auto doublings = static_cast<uint32_t>(std::bit_width(fleet_size + 1));
-  entries_[member.address] = {member, Encode(member).size(),
-                              kTransmissionsFactor * doublings};
+  const uint32_t transmissions = kTransmissionsFactor * doublings;
+  entries_[member.address] = {member, Encode(member).size(), transmissions,
+                              std::max(transmissions / kMaxDuplicates, 1U)};
 }
 
 void UpdateQueue::RecordDuplicate(const Member& member) {
@@ -27,8 +28,8 @@
   Entry& entry = it->second;
   if (entry.member.Supersedes(member) || member.Supersedes(entry.member))
     return;
-  if (entry.remaining > kDuplicateWeight) {
-    entry.remaining -= kDuplicateWeight;
+  if (entry.remaining > entry.duplicate_weight) {
+    entry.remaining -= entry.duplicate_weight;
   } else {
     entries_.erase(it);
   }
--- a/Source/Plugins/Membership/update_queue.h
+++ b/Source/Plugins/Membership/update_queue.h
@@ -32,6 +32,8 @@
     size_t bytes = 0;
     /// Transmissions left.
     uint32_t remaining = 0;
+    /// Transmissions that a duplicate makes unnecessary.
+    uint32_t duplicate_weight = 1;
   };
   std::map<Address, Entry> entries_;
 };
--- a/Tests/Membership/record_spreading_test.cc
+++ b/Tests/Membership/record_spreading_test.cc
@@ -4,6 +4,7 @@
 
 #include "Membership/large_fleet.h"
 #include "Plugins/Membership/table_agreement.h"
+#include "Plugins/Membership/update_queue.h"
 
 namespace buckthorncart {
 namespace {
@@ -131,5 +132,34 @@
   }
 }
 
+// Copies that came back from one daemon ended the gossip before it had reached
+// the others; only the comparison of tables repaired that, after seconds.
+TEST_CASE(
+    "membership: gossip reaches a small fleet before tables are compared") {
+  constexpr uint32_t kSize = 4;
+  constexpr uint32_t kSeeds = 100;
+  constexpr Duration kMaxGossipTime = 5s;
+  Duration longest{};
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    longest = std::max(longest, MeasureChanges(kSize, seed).longest);
+  }
+  MESSAGE("longest " << ToMilliseconds(longest) << " ms");
+  CHECK(longest < kMaxGossipTime);
+}
+
+TEST_CASE("update queue: copies from one daemon do not end a record") {
+  constexpr size_t kFleetSize = 3;
+  constexpr size_t kMaxBytes = 1'000;
+  UpdateQueue queue;
+  Member member;
+  member.address = Address{1, 1};
+  queue.Add(member, kFleetSize);
+  // A probe with the record, its acknowledgement, and a probe of that daemon.
+  queue.Take(kMaxBytes);
+  queue.RecordDuplicate(member);
+  queue.RecordDuplicate(member);
+  CHECK_FALSE(queue.Empty());
+}
+
 }  // namespace
 }  // namespace buckthorncart
