Hold the body of a request in memory once

Cause: the body was copied with the request: event, call of the router, message to the admitting daemon, run, formatted request, buffer of the connection.

Weighed: moving the text from step to step. The event, the call that may be sent again and the buffer of the connection would remain at the same time.

A body on the wire between daemons is encoded as before.

--- a/Source/Net/http_connection.h
+++ b/Source/Net/http_connection.h
@@ -34,7 +34,7 @@
     method_ = request.method;
     discarded_bytes_ = 0;
     reader_.Begin(method_);
-    stream_->Write(FormatRequest(request, to_.ToString()));
+    stream_->Write(FormatRequestHead(request, to_.ToString()), request.body);
   }
 
   void SetReading(bool reading) {
--- a/Source/Net/stream.cc
+++ b/Source/Net/stream.cc
@@ -17,6 +17,8 @@
 constexpr int kMaxReadsPerEvent = 16;
 /// Sent bytes are erased from the front of the buffer once there are this many.
 constexpr size_t kCompactBytes = 262'144;
+/// Largest body that is copied to the buffer, so that it is sent with its head.
+constexpr size_t kMaxCopiedBytes = 65'536;
 /// Maximum time to wait for the peer to close its side of the connection.
 constexpr int kLingerSeconds = 2;
 
@@ -33,7 +35,28 @@
 
 void Stream::Write(std::string_view bytes) {
   if (write_failed_ || closing_) return;
+  BufferBody();
   write_buffer_.append(bytes);
+  FlushOrRemove();
+}
+
+void Stream::Write(std::string_view head, const SharedBody& body) {
+  if (write_failed_ || closing_) return;
+  BufferBody();
+  write_buffer_.append(head);
+  body_ = body;
+  body_rest_ = body_;
+  if (body.size() <= kMaxCopiedBytes) BufferBody();
+  FlushOrRemove();
+}
+
+void Stream::BufferBody() {
+  write_buffer_.append(body_rest_);
+  body_rest_ = {};
+  body_ = {};
+}
+
+void Stream::FlushOrRemove() {
   if (!open_) return;
   if (!Flush()) {
     watcher_.Remove(*this);
@@ -43,26 +66,39 @@
 }
 
 bool Stream::Flush() {
-  while (BufferedBytes() > 0) {
-    const ssize_t n = send(fd_, write_buffer_.data() + write_offset_,
-                           BufferedBytes(), MSG_NOSIGNAL);
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0 && WouldBlock()) break;
-    if (n < 0) {
-      write_failed_ = true;
-      return false;
-    }
-    write_offset_ += static_cast<size_t>(n);
-  }
-  if (BufferedBytes() == 0) {
+  const size_t buffered = write_buffer_.size() - write_offset_;
+  const auto sent = SendBytes({write_buffer_.data() + write_offset_, buffered});
+  if (!sent) return false;
+  write_offset_ += *sent;
+  if (write_offset_ == write_buffer_.size()) {
     write_buffer_.clear();
     write_offset_ = 0;
+    const auto body_sent = SendBytes(body_rest_);
+    if (!body_sent) return false;
+    body_rest_.remove_prefix(*body_sent);
+    if (body_rest_.empty()) body_ = {};
   } else if (write_offset_ >= kCompactBytes) {
     write_buffer_.erase(0, std::exchange(write_offset_, 0));
   }
   return true;
 }
 
+std::optional<size_t> Stream::SendBytes(std::string_view bytes) {
+  size_t sent = 0;
+  while (sent < bytes.size()) {
+    const ssize_t n =
+        send(fd_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && WouldBlock()) break;
+    if (n < 0) {
+      write_failed_ = true;
+      return std::nullopt;
+    }
+    sent += static_cast<size_t>(n);
+  }
+  return sent;
+}
+
 void Stream::SetReading(bool reading) { watcher_.SetReading(*this, reading); }
 
 void Stream::Close() {
--- a/Source/Net/stream.h
+++ b/Source/Net/stream.h
@@ -4,10 +4,13 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "Net/stream_handler.h"
 #include "Net/watched_descriptor.h"
+#include "Wire/shared_body.h"
 
 namespace buckthorncart {
 
@@ -26,9 +29,13 @@
 
   void SetHandler(StreamHandler* handler) { handler_ = handler; }
   void Write(std::string_view bytes);
+  /// Writes `head` and then `body`. A large body is not copied.
+  void Write(std::string_view head, const SharedBody& body);
   /// Returns the number of bytes that the operating system has not accepted
   /// yet.
-  size_t BufferedBytes() const { return write_buffer_.size() - write_offset_; }
+  size_t BufferedBytes() const {
+    return write_buffer_.size() - write_offset_ + body_rest_.size();
+  }
   void SetReading(bool reading);
   /// Closes the connection after all data has been written and the peer has
   /// closed its side or a timeout has expired. The handler is not called any
@@ -46,6 +53,13 @@
  private:
   /// Writes as much as possible; returns false if the connection is broken.
   bool Flush();
+  /// Sends `bytes` as far as the operating system accepts them and returns
+  /// their number, or nothing if the connection is broken.
+  std::optional<size_t> SendBytes(std::string_view bytes);
+  /// Appends the rest of the body to the buffer, so that other bytes can follow
+  /// it.
+  void BufferBody();
+  void FlushOrRemove();
   void ShutDownWrite();
 
   DescriptorWatcher& watcher_;
@@ -56,6 +70,10 @@
   StreamEnd end_ = StreamEnd::kBroken;
   std::string write_buffer_;
   size_t write_offset_ = 0;
+  /// Large body that follows the buffer, and the part of it that is still to be
+  /// sent.
+  SharedBody body_;
+  std::string_view body_rest_;
   bool write_failed_ = false;
   bool closing_ = false;
   bool aborted_ = false;
--- a/Source/Plugins/Admission/admission.h
+++ b/Source/Plugins/Admission/admission.h
@@ -83,6 +83,8 @@
     bool awaiting_claim = false;
     /// True until the withheld body has arrived.
     bool awaiting_body = false;
+    /// What has arrived of a withheld body.
+    std::string arriving_body;
   };
 
   void HandleCall(Context& ctx, Address from, const Call& call);
--- a/Source/Plugins/Admission/admission_announcements_inl.h
+++ b/Source/Plugins/Admission/admission_announcements_inl.h
@@ -22,7 +22,7 @@
 template <RequestRules Rules>
 void Admission<Rules>::HandleAnnouncement(Context& ctx,
                                           const OperatorRequested& request) {
-  auto announcement = ParseAnnouncement(request.http.body);
+  auto announcement = ParseAnnouncement(request.http.body.Text());
   if (!announcement) {
     ctx.Log(LogTopic::kAnnouncementRejected,
             {{"subject", announcement.error().subject},
--- a/Source/Plugins/Admission/admission_bodies_inl.h
+++ b/Source/Plugins/Admission/admission_bodies_inl.h
@@ -3,6 +3,7 @@
 /// Definitions of `Admission` that handle withheld bodies; included by
 /// admission.h.
 
+#include <utility>
 #include <vector>
 
 #include "Kernel/context.h"
@@ -37,7 +38,7 @@
   if (it == run_of_call_.end()) return;
   const uint64_t run_id = it->second;
   Run& run = runs_.at(run_id);
-  std::string& body = run.call.request.body;
+  std::string& body = run.arriving_body;
   const bool fits = run.awaiting_body && piece.offset == body.size() &&
                     piece.bytes.size() <= run.call.withheld_bytes - body.size();
   // A piece that was requested for an earlier attempt of the call.
@@ -47,6 +48,7 @@
     return;
   counters_.Add(AdmissionCounter::kBodiesTransferred);
   run.awaiting_body = false;
+  run.call.request.body = std::move(run.arriving_body);
   StartOrQueue(ctx, run_id);
 }
 
--- a/Source/Plugins/Configuration/change_preview.cc
+++ b/Source/Plugins/Configuration/change_preview.cc
@@ -102,7 +102,7 @@
          "try again later or use another daemon"});
     return true;
   }
-  const auto preview = Preview(*ctx.Shared().held, request.http.body);
+  const auto preview = Preview(*ctx.Shared().held, request.http.body.Text());
   if (preview) {
     ctx.AnswerJson(request.request, 200, preview->dump() + "\n");
   } else {
--- a/Source/Plugins/Requests/call_plan.cc
+++ b/Source/Plugins/Requests/call_plan.cc
@@ -71,7 +71,7 @@
   if (!timeout) return tl::unexpected(timeout.error());
   plan.timeout = *timeout;
   plan.fingerprint =
-      DigestOf(request.method + "\n" + request.path + "\n" + request.body);
+      DigestOfParts({request.method, "\n", request.path, "\n", request.body});
   if (ctx.Shared().crash_register->IsBlocked(ctx.Now(), plan.fingerprint)) {
     return tl::unexpected(Errc::kCrashGuard);
   }
--- a/Source/Plugins/Requests/call_router_bodies_inl.h
+++ b/Source/Plugins/Requests/call_router_bodies_inl.h
@@ -40,7 +40,7 @@
                                                   const BodyRequest& request) {
   ActiveCall* active = FindActiveCall(from, request.id);
   if (active == nullptr) return;
-  const std::string& body = active->request.body;
+  const std::string& body = active->request.body.Text();
   const bool is_next = request.offset == active->body_bytes_sent &&
                        request.bytes <= active->withheld_bytes - request.offset;
   if (!is_next) return;
--- a/Source/Wire/http.h
+++ b/Source/Wire/http.h
@@ -10,6 +10,7 @@
 
 #include "Base/enum_names.h"
 #include "Wire/enum_adaptor.h"
+#include "Wire/shared_body.h"
 
 namespace buckthorncart {
 
@@ -31,7 +32,7 @@
   /// Path and query of the request target.
   std::string path;
   Headers headers;
-  std::string body;
+  SharedBody body;
   MSGPACK_DEFINE(method, path, headers, body)
 };
 
--- a/Source/Wire/http_format.cc
+++ b/Source/Wire/http_format.cc
@@ -68,10 +68,11 @@
 
 }  // namespace
 
-std::string FormatRequest(const HttpRequest& request, std::string_view host) {
+std::string FormatRequestHead(const HttpRequest& request,
+                              std::string_view host) {
   constexpr size_t kTypicalHeadBytes = 512;
   std::string out;
-  out.reserve(kTypicalHeadBytes + request.body.size());
+  out.reserve(kTypicalHeadBytes);
   AppendText(out, request.method);
   out.append(" ");
   AppendText(out, request.path);
@@ -83,7 +84,7 @@
   if (NeedsLength(request)) {
     AddHeader(out, "content-length", std::to_string(request.body.size()));
   }
-  out.append("\r\n").append(request.body);
+  out.append("\r\n");
   return out;
 }
 
--- a/Source/Wire/http_format.h
+++ b/Source/Wire/http_format.h
@@ -20,8 +20,10 @@
   kNone,
 };
 
-/// Returns the complete request. `host` is used if its headers have no host.
-std::string FormatRequest(const HttpRequest& request, std::string_view host);
+/// Returns the request line and headers of `request`, which its body follows.
+/// `host` is used if the headers have no host.
+std::string FormatRequestHead(const HttpRequest& request,
+                              std::string_view host);
 
 /// Returns the status line and headers of an answer. `length` is the size of
 /// the body in bytes. If `close` is set, the headers announce that the
--- a/Tests/EndToEnd/answers_test.cc
+++ b/Tests/EndToEnd/answers_test.cc
@@ -1,6 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <fstream>
 #include <memory>
 
 #include "EndToEnd/process_fleet.h"
@@ -13,18 +12,6 @@
 constexpr const char* kPath = "/p/1?size=8000000";
 constexpr uint32_t kReaders = 48;
 
-/// Peak resident memory of a process, KiB.
-uint64_t PeakMemoryKiB(pid_t pid) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-  std::string line;
-  constexpr std::string_view kField = "VmHWM:";
-  while (std::getline(in, line)) {
-    if (!line.starts_with(kField)) continue;
-    return std::strtoull(line.c_str() + kField.size(), nullptr, 10);
-  }
-  return 0;
-}
-
 /// Two daemons; the second one has a backend server.
 struct TwoDaemonFleet {
   explicit TwoDaemonFleet(const std::vector<std::string>& flags) {
--- a/Tests/EndToEnd/process_fleet.cc
+++ b/Tests/EndToEnd/process_fleet.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <fstream>
 #include <thread>
 #include <utility>
 
@@ -170,6 +171,17 @@
   return Fetch(to, {"POST", path, {}, body});
 }
 
+uint64_t PeakMemoryKiB(pid_t pid) {
+  std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+  std::string line;
+  constexpr std::string_view kField = "VmHWM:";
+  while (std::getline(in, line)) {
+    if (!line.starts_with(kField)) continue;
+    return std::strtoull(line.c_str() + kField.size(), nullptr, 10);
+  }
+  return 0;
+}
+
 bool WaitFor(const std::function<bool()>& done, Duration timeout) {
   const Time end = Loop::Now() + timeout;
   while (!done()) {
--- a/Tests/EndToEnd/process_fleet.h
+++ b/Tests/EndToEnd/process_fleet.h
@@ -69,6 +69,9 @@
   std::map<std::string, pid_t> processes_;
 };
 
+/// Peak resident memory of a process, KiB.
+uint64_t PeakMemoryKiB(pid_t pid);
+
 /// Polls `done` until it returns true; returns false after `timeout`.
 bool WaitFor(const std::function<bool()>& done, Duration timeout = 20s);
 
--- a/Tests/Platform/odd_input_test.cc
+++ b/Tests/Platform/odd_input_test.cc
@@ -33,7 +33,7 @@
 }
 
 bool IsRejected(const HttpRequest& request) {
-  return !ParseAnnouncement(request.body);
+  return !ParseAnnouncement(request.body.Text());
 }
 
 // Review case 1: the id of a heartbeat that is not UTF-8 ended the daemon.
@@ -98,7 +98,7 @@
     const HttpRequest request =
         Translated(damages_target ? Mutate(target, random) : target,
                    damages_target ? kHeartbeat : Mutate(kHeartbeat, random));
-    const auto announcement = ParseAnnouncement(request.body);
+    const auto announcement = ParseAnnouncement(request.body.Text());
     if (!announcement) continue;
     CHECK((announcement->backend.id.empty() ||
            IsBackendId(announcement->backend.id)));
--- a/Tests/Platform/platform_http_translator_test.cc
+++ b/Tests/Platform/platform_http_translator_test.cc
@@ -98,7 +98,7 @@
           "born":1700000000000,"new":[1]})");
   Translator().TranslateOperatorRequest(request);
   CHECK(request.path == "/v1/backend-server");
-  const auto body = nlohmann::json::parse(request.body);
+  const auto body = nlohmann::json::parse(request.body.Text());
   CHECK(body["id"] == "i-1");
   CHECK(body["slots"] == 9);
   CHECK(body["started_ms"] == 1'700'000'000'000);
@@ -127,7 +127,7 @@
   HttpRequest deregister{
       "POST", "/buckthorncart/rpc?call=instances.deregister&of=i-1", {}, ""};
   Translator().TranslateOperatorRequest(deregister);
-  const auto body = nlohmann::json::parse(deregister.body);
+  const auto body = nlohmann::json::parse(deregister.body.Text());
   CHECK(body["state"] == "absent");
   CHECK(body["id"] == "i-1");
 }
--- a/Tests/Wire/codec_test.cc
+++ b/Tests/Wire/codec_test.cc
@@ -39,5 +39,15 @@
   CHECK(!Decode<PeerMessage>(Encode(std::make_tuple(99, std::make_tuple(1)))));
 }
 
+TEST_CASE("shared body: copies of a request share its body") {
+  const HttpRequest request{"POST", "/p", {}, "body"};
+  const HttpRequest copy = request;
+  CHECK(copy.body.Text().data() == request.body.Text().data());
+  const auto decoded = Decode<HttpRequest>(Encode(request));
+  REQUIRE(decoded);
+  CHECK(decoded->body == "body");
+  CHECK(HttpRequest{}.body.empty());
+}
+
 }  // namespace
 }  // namespace buckthorncart
--- a/Tests/Wire/http_reader_test.cc
+++ b/Tests/Wire/http_reader_test.cc
@@ -140,7 +140,7 @@
   const HttpRequest request{
       "PUT", "/p/1", {{"host", "h.example"}, {"x-request-id", "9"}}, "body"};
   HttpRequestReader reader({});
-  reader.Append(FormatRequest(request, "unused"));
+  reader.Append(FormatRequestHead(request, "unused") + request.body.Text());
   REQUIRE(reader.Advance() == ReadState::kWhole);
   const HttpRequest read = reader.Take();
   CHECK(read.path == "/p/1");
--- a/Tests/Wire/odd_input_test.cc
+++ b/Tests/Wire/odd_input_test.cc
@@ -130,7 +130,8 @@
 TEST_CASE("odd input: line ends in a field do not add lines to a head") {
   const HttpRequest request{
       "GET\r\n", "/a\r\nX: y", {{"n\n", "v\r\n\r\nw"}}, ""};
-  const std::string text = FormatRequest(request, "h");
+  const std::string text =
+      FormatRequestHead(request, "h") + request.body.Text();
   CHECK(text == "GET   /a  X: y HTTP/1.1\r\nhost: h\r\nn : v    w\r\n\r\n");
   const AnswerPart head{200, {{"a", std::string("b\0\r\nc", 5)}}, ""};
   CHECK(FormatAnswerHead(head, AnswerFraming::kLength, 0, false) ==
--- a/Utilities/BackendServerStandin/backend_server_standin.cc
+++ b/Utilities/BackendServerStandin/backend_server_standin.cc
@@ -13,7 +13,7 @@
 
 constexpr Duration kAnnounceInterval = 500ms;
 constexpr int kCrashStatus = 86;
-constexpr size_t kBodyLimit = 16U << 20U;
+constexpr size_t kBodyLimit = 64U << 20U;
 
 HttpServerLimits Limits() {
   HttpServerLimits limits;
--- a/Utilities/RowStoreStandin/row_store_standin.cc
+++ b/Utilities/RowStoreStandin/row_store_standin.cc
@@ -74,7 +74,7 @@
   }
   if (url.path == "/put") {
     Put(std::string(url.Get("table")), std::string(url.Get("key")),
-        request.body);
+        request.body.Text());
     Answer(id, 200, "{}");
     return;
   }
@@ -107,7 +107,7 @@
 void RowStoreStandin::Serve(uint64_t id, const HttpRequest& request) {
   const Url url = ParseUrl(request.path);
   if (url.path == "/buckthorncart/rows-tx") {
-    ServeTransaction(id, request.body);
+    ServeTransaction(id, request.body.Text());
   } else if (url.path == "/buckthorncart/rows-get") {
     ServeRead(id, request.path);
   } else if (url.path == "/buckthorncart/rows-feed") {
