Bound the memory of request bodies

Change: HttpServer counts the received bytes of the bodies that are read or answered, Admission those of withheld bodies that it asks other daemons for. What does not fit is refused at once: 503, not run, Retry-After; in Admission as overloaded, so that the caller's daemon tries another one. Announced lengths are compared with what is free but not counted: a caller that announces a length and sends nothing costs the others nothing. Bodies up to 16 KiB are not counted.

Weighed: to stop reading from the connections instead. Callers would wait until their deadlines without knowing that their requests have not run.

--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -221,6 +221,9 @@
             "time until a new backend server gets its full share of calls, ms");
   AddNumber("--body-limit", body_limit_, 0, 64U << 20U,
             "maximum size of a request body, bytes");
+  AddNumber("--body-memory-kib", kernel.body_memory_kib, 64U << 10U, ~0U,
+            "memory for the bodies of requests from callers, and as much again "
+            "for those from other daemons, KiB");
   AddNumber("--answer-window-bytes", kernel.answer_window_bytes, 65'536, ~0U,
             "maximum bytes of one answer in flight between two daemons");
   AddNumber("--link-kbps", kernel.link_kbps, 1, 400'000'000,
@@ -311,6 +314,8 @@
   settings_.driver.limits.message.head_bytes = header_limit_;
   settings_.driver.limits.message.body_bytes = body_limit_;
   settings_.driver.limits.connections = connection_limit_;
+  settings_.driver.limits.body_memory_bytes =
+      BytesOfKib(settings_.kernel.body_memory_kib);
   settings_.driver.delay_callers_until_ready = true;
   settings_.kernel.seed = std::random_device{}();
   Result<void> resolved = CheckAddressesDiffer(settings_);
--- a/Source/Kernel/kernel_settings.h
+++ b/Source/Kernel/kernel_settings.h
@@ -61,6 +61,9 @@
   static constexpr std::string_view kNames[] = {"accepted", "followed"};
 };
 
+/// Returns the number of bytes of `kib` KiB.
+constexpr uint64_t BytesOfKib(uint32_t kib) { return uint64_t{kib} << 10U; }
+
 struct KernelSettings {
   /// Address of this daemon for other daemons, TCP and UDP.
   Address self;
@@ -146,6 +149,9 @@
   /// Retries beyond the budget that all daemons together may make in addition,
   /// shared equally among them; `retry_reserve` applies if this is 0.
   uint32_t fleet_retry_reserve = 0;
+  /// Memory for the bodies of requests from callers, and as much again for
+  /// those from other daemons, KiB.
+  uint32_t body_memory_kib = 128U << 10U;
 
   MSGPACK_DEFINE(self, data_centre, peers, backend, seed, spreading,
                  spreading_fanout, holders_timeout_ms, decision_timeout_ms,
@@ -156,7 +162,7 @@
                  platform_concurrency, choice, answer_window_bytes, source,
                  watch_wait_ms, caller_service, backend_lease_ms, retry_reserve,
                  drain_limit_ms, callers_grace_ms, relays_configuration,
-                 link_kbps, fleet_retry_reserve)
+                 link_kbps, fleet_retry_reserve, body_memory_kib)
 };
 
 }  // namespace buckthorncart
--- a/Source/Kernel/metric_help.cc
+++ b/Source/Kernel/metric_help.cc
@@ -29,6 +29,10 @@
      "Departures recorded by other daemons in place of the platform, "
      "departures."},
     {"calls_active", "Calls without a complete answer, calls."},
+    {"caller_body_bytes",
+     "Memory of the bodies of requests that are read or answered, bytes."},
+    {"caller_bodies_refused_total",
+     "Requests refused because their bodies did not fit in memory, requests."},
     {"answer_pauses_total",
      "Pauses in reading an answer because of a slow caller, pauses."},
     {"answer_resumes_total", "Answers whose reading was resumed, resumes."},
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -27,13 +27,21 @@
   return part;
 }
 
+AnswerPart HttpServerHandler::MakeOverloadAnswer() {
+  AnswerPart part;
+  part.status = 503;
+  part.end = AnswerEnd::kComplete;
+  return part;
+}
+
 HttpServer::HttpServer(Loop& loop, const HttpServerLimits& limits,
                        HttpServerHandler& handler, uint64_t last_id)
     : loop_(loop),
       limits_(limits),
       handler_(handler),
       endpoint_(loop, DeadPeerDetection::kKeepalive),
-      next_id_(last_id) {}
+      next_id_(last_id),
+      body_memory_(limits.body_memory_bytes) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -71,6 +79,7 @@
   const auto it = sessions_.find(&session);
   if (it == sessions_.end()) return;
   sessions_by_request_.erase(session.Id());
+  session.ReleaseBody();
   if (closed_sessions_.empty()) {
     loop_.RunIn(Duration::zero(), [this] { closed_sessions_.clear(); });
   }
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Base/address.h"
+#include "Base/byte_budget.h"
 #include "Base/result.h"
 #include "Base/time.h"
 #include "Net/http_server_handler.h"
@@ -21,6 +22,8 @@
 
 struct HttpServerLimits {
   HttpLimits message;
+  /// Memory for the bodies of all requests that are being read or answered.
+  uint64_t body_memory_bytes = ~0ULL;
   /// Maximum number of open connections; further ones are closed at once.
   size_t connections = 4'096;
   /// Maximum time for receiving one request.
@@ -61,6 +64,10 @@
   /// have not been passed to its connection yet.
   size_t BufferedBytes(uint64_t id) const;
   size_t ConnectionCount() const { return sessions_.size(); }
+  /// Returns the memory that the bodies of requests occupy.
+  uint64_t BodyBytes() const { return body_memory_.Used(); }
+  /// Returns the number of requests that were refused for lack of it.
+  uint64_t RefusedBodies() const { return refused_bodies_; }
 
  private:
   class Session;
@@ -80,6 +87,8 @@
   std::vector<std::unique_ptr<Session>> closed_sessions_;
   std::unordered_map<uint64_t, Session*> sessions_by_request_;
   uint64_t next_id_;
+  ByteBudget body_memory_;
+  uint64_t refused_bodies_ = 0;
 };
 
 }  // namespace buckthorncart
--- a/Source/Net/http_server_handler.h
+++ b/Source/Net/http_server_handler.h
@@ -24,6 +24,9 @@
   /// Returns the answer to a malformed or oversized request, after which the
   /// connection is closed.
   virtual AnswerPart MakeErrorAnswer(ReadState fault);
+  /// Returns the answer to a request whose body does not fit in memory, after
+  /// which the connection is closed.
+  virtual AnswerPart MakeOverloadAnswer();
 };
 
 /// Returns the HTTP status for a request that cannot be read because of
--- a/Source/Net/http_session.h
+++ b/Source/Net/http_session.h
@@ -2,6 +2,8 @@
 /// \file
 /// A connection of the HTTP server. Included by http_server.cc only.
 
+#include <algorithm>
+#include <cstdint>
 #include <cstdio>
 #include <deque>
 #include <utility>
@@ -62,11 +64,15 @@
 
   uint64_t Id() const { return id_; }
 
+  void ReleaseBody() { server_.body_memory_.Release(body_share_); }
+
  private:
   /// Minimum number of written bytes per report to the handler.
   static constexpr size_t kMinReportedBytes = 65'536;
   /// No further part is written while the stream buffers this much or more.
   static constexpr size_t kHighWaterBytes = 65'536;
+  /// Bodies up to this size are bounded by the number of connections.
+  static constexpr uint64_t kMaxUncountedBytes = 16'384;
 
   static bool HasBody(uint16_t status) {
     constexpr uint16_t kNoContent = 204;
@@ -90,6 +96,12 @@
         return;
       }
       if (!std::exchange(receiving_, true)) phase_started_ = Loop::Now();
+      const bool readable =
+          state == ReadState::kPartial || state == ReadState::kWhole;
+      if (readable && !ReserveBody()) {
+        RefuseBody();
+        return;
+      }
       if (state == ReadState::kPartial) {
         if (reader_.TakeContinue()) {
           stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -112,6 +124,23 @@
     server_.handler_.OnRequest(id_, std::move(request));
   }
 
+  /// Counts what has been received of the current body against the memory for
+  /// all of them. Returns false if the whole body does not fit at present. What
+  /// is only announced is not counted, since it may never come.
+  bool ReserveBody() {
+    const uint64_t received = reader_.BodyBytes();
+    const uint64_t expected = std::max(received, reader_.AnnouncedBodyBytes());
+    if (expected <= kMaxUncountedBytes) return true;
+    const bool fits = expected - body_share_ <= server_.body_memory_.Free();
+    return fits && server_.body_memory_.TryResize(body_share_, received);
+  }
+
+  void RefuseBody() {
+    ++server_.refused_bodies_;
+    BeginAnswer();
+    Answer(server_.handler_.MakeOverloadAnswer(), true);
+  }
+
   void RejectRequest(ReadState fault) {
     BeginAnswer();
     Answer(server_.handler_.MakeErrorAnswer(fault), true);
@@ -186,6 +215,7 @@
   void FinishAnswer() {
     server_.sessions_by_request_.erase(id_);
     answering_ = false;
+    ReleaseBody();
     unreported_bytes_ = 0;
     phase_started_ = Loop::Now();
     if (close_after_answer_) {
@@ -225,6 +255,8 @@
   AnswerFraming framing_ = AnswerFraming::kLength;
   std::deque<AnswerPart> pending_parts_;
   size_t buffered_bytes_ = 0;
+  /// Memory that is reserved for the body of the current request.
+  uint64_t body_share_ = 0;
   /// Body bytes passed to the stream since the last report to the handler.
   size_t unreported_bytes_ = 0;
 };
--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -63,6 +63,11 @@
     part.status = HttpStatusOf(fault);
     return part;
   }
+  AnswerPart MakeOverloadAnswer() override {
+    /// Time in which a large upload has usually been passed on.
+    constexpr Duration kRetryAfter = 500ms;
+    return MakeFailureAnswer(Errc::kOverloaded, Outcome::kNotRun, kRetryAfter);
+  }
 
  private:
   LoopDriver& driver_;
@@ -131,6 +136,11 @@
                      [this] { return datagrams_.ReceivedBytes(); });
   metrics.AddCounter("backend_connections_total",
                      [this] { return backend_client_.ConnectionsOpened(); });
+  metrics.AddGauge("caller_body_bytes", [this] {
+    return static_cast<double>(callers_.BodyBytes());
+  });
+  metrics.AddCounter("caller_bodies_refused_total",
+                     [this] { return callers_.RefusedBodies(); });
   metrics.AddCounter("log_lines_dropped_total", LogSink::DroppedLines);
   metrics.AddCounter("bad_frames_total", [this] { return bad_frames_; });
 }
--- a/Source/Plugins/Admission/admission.h
+++ b/Source/Plugins/Admission/admission.h
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "Base/address.h"
+#include "Base/byte_budget.h"
 #include "Base/error.h"
 #include "Base/time.h"
 #include "Kernel/claim_events.h"
@@ -85,6 +86,8 @@
     bool awaiting_body = false;
     /// What has arrived of a withheld body.
     std::string arriving_body;
+    /// Memory that is reserved for it.
+    uint64_t body_share = 0;
   };
 
   void HandleCall(Context& ctx, Address from, const Call& call);
@@ -161,6 +164,8 @@
   std::map<CallKey, uint64_t> run_of_call_;
   RunQueue<Rules> queue_;
   BodyTransfers body_transfers_;
+  /// Memory for withheld bodies.
+  ByteBudget body_memory_;
   /// Service times by route.
   std::map<std::string, ServiceTime> service_times_;
   AnnouncementFilter announcement_filter_;
--- a/Source/Plugins/Admission/admission_inl.h
+++ b/Source/Plugins/Admission/admission_inl.h
@@ -21,7 +21,8 @@
 
 template <RequestRules Rules>
 Admission<Rules>::Admission(const KernelSettings& settings)
-    : body_transfers_(settings.link_kbps) {
+    : body_transfers_(settings.link_kbps),
+      body_memory_(BytesOfKib(settings.body_memory_kib)) {
   announcement_filter_.AwaitRecord();
 }
 
@@ -113,6 +114,7 @@
     return Errc::kCrashGuard;
   }
   if (connect_backoff_.IsActive(ctx.Now())) return Errc::kBackendServerFailed;
+  if (call.withheld_bytes > body_memory_.Free()) return Errc::kOverloaded;
   const uint32_t slots = Slots(ctx);
   if (slots == 0) return Errc::kOverloaded;
   const Duration remaining = std::chrono::milliseconds(call.remaining_ms);
@@ -164,6 +166,7 @@
   }
   if (call.withheld_bytes > 0) {
     run.awaiting_body = true;
+    body_memory_.TryResize(run.body_share, call.withheld_bytes);
     body_transfers_.Add(run_id, call.withheld_bytes, WeightOfCall(call));
     return;
   }
@@ -327,6 +330,7 @@
                          !it->second.awaiting_claim;
     if (claimed) ctx.Raise(ClaimUnused{run_id});
   }
+  body_memory_.Release(it->second.body_share);
   run_of_call_.erase(it->second.key);
   runs_.erase(it);
   ctx.Shared().active_runs = static_cast<uint32_t>(runs_.size());
--- a/Source/Wire/http_request_reader.cc
+++ b/Source/Wire/http_request_reader.cc
@@ -35,6 +35,17 @@
   return request;
 }
 
+uint64_t HttpRequestReader::BodyBytes() const {
+  const auto* beast_parser = parser_->messages.Current();
+  return beast_parser == nullptr ? 0 : beast_parser->get().body().size();
+}
+
+uint64_t HttpRequestReader::AnnouncedBodyBytes() const {
+  const auto* beast_parser = parser_->messages.Current();
+  const bool known = beast_parser != nullptr && beast_parser->is_header_done();
+  return known ? beast_parser->content_length().value_or(0) : 0;
+}
+
 bool HttpRequestReader::KeepsAlive() const {
   const auto* beast_parser = parser_->messages.Current();
   return beast_parser != nullptr && beast_parser->keep_alive();
--- a/Source/Wire/http_request_reader.h
+++ b/Source/Wire/http_request_reader.h
@@ -39,6 +39,10 @@
   /// Removes and returns the request, which must be complete. The next
   /// `Advance` begins the next request.
   HttpRequest Take();
+  /// Returns how much of the body of the current request has been received.
+  uint64_t BodyBytes() const;
+  /// Returns the size of that body if its length is given, otherwise 0.
+  uint64_t AnnouncedBodyBytes() const;
   /// Returns true if the sender keeps the connection open. Valid only if the
   /// request is complete.
   bool KeepsAlive() const;
--- a/Tests/Requests/link_test.cc
+++ b/Tests/Requests/link_test.cc
@@ -66,13 +66,16 @@
 /// that they call is behind a narrow link.
 class LinkFleet {
  public:
-  explicit LinkFleet(FakeFleet::PluginFactory plugins)
+  explicit LinkFleet(
+      FakeFleet::PluginFactory plugins,
+      uint32_t body_memory_kib = KernelSettings{}.body_memory_kib)
       : fleet_(std::move(plugins)) {
     std::vector<KernelSettings> all;
     for (uint32_t n = 1; n <= kServer; ++n) {
       KernelSettings settings = TestSettings(n, "pl-ne-bia");
       settings.source = ConfigurationSource::kFollowed;
       settings.choice = ChoicePolicy::kNearest;
+      settings.body_memory_kib = body_memory_kib;
       settings.link_kbps = n == kServer ? kNarrowKbps : kSenderKbps;
       all.push_back(settings);
       fleet_.SetLink(n, settings.link_kbps);
@@ -310,5 +313,15 @@
   CHECK(transfers.TransferTime(kUploadBytes) <= nominal * 2);
 }
 
+TEST_CASE("link: bodies that do not fit in memory are refused, others pass") {
+  constexpr uint32_t kSmallMemoryKib = 50;
+  LinkFleet test(StandardPlugins, kSmallMemoryKib);
+  auto results = test.Run(50);
+  const KindResult& uploads = results.at(kUpload.path);
+  CHECK(uploads.calls > 0);
+  CHECK(uploads.refused == uploads.calls);
+  CHECK(results.at(kCheck.path).InTime() > 0.99);
+}
+
 }  // namespace
 }  // namespace buckthorncart
--- a/Tests/Wire/codec_test.cc
+++ b/Tests/Wire/codec_test.cc
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include "Base/byte_budget.h"
+#include "Base/digest.h"
 #include "Wire/peer_messages.h"
 
 namespace buckthorncart {
@@ -49,5 +51,26 @@
   CHECK(HttpRequest{}.body.empty());
 }
 
+TEST_CASE("digest: parts have the digest of the whole") {
+  const std::string text(1'000, 'x');
+  CHECK(DigestOfParts({"a", "\n", text}) == DigestOf("a\n" + text));
+  CHECK(DigestOfParts({}) == DigestOf(""));
+}
+
+TEST_CASE("byte budget: the sum of the shares stays within the limit") {
+  ByteBudget budget(100);
+  uint64_t first = 0;
+  uint64_t second = 0;
+  CHECK(budget.TryResize(first, 60));
+  CHECK_FALSE(budget.TryResize(second, 41));
+  CHECK(second == 0);
+  CHECK(budget.TryResize(second, 40));
+  CHECK(budget.Free() == 0);
+  CHECK_FALSE(budget.TryResize(second, ~0ULL));
+  budget.Release(first);
+  CHECK(first == 0);
+  CHECK(budget.Used() == 40);
+}
+
 }  // namespace
 }  // namespace buckthorncart
