Answer the calls that are left at the drain limit

Cause: at the drain limit the daemon waits until no caller is being answered, and nothing answers those that are left.

Change: DrainLimitReached; the router gives up each call as at its deadline, with the reason draining; admission refuses what has not started.

Weighed: to refuse earlier, when a call could no longer end in time. Its answer may still come, and ready answers are delivered.

--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -222,16 +222,21 @@
   MSGPACK_DEFINE(backend)
 };
 
-using Event =
-    std::variant<Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
-                 DatagramReceived, PlatformReplied, CallerRequested,
-                 CallerDisconnected, BackendAnswered, OperatorRequested,
-                 OperatorDisconnected, ShutdownRequested, ConfigurationAdopted,
-                 HeadObserved, MemberChanged, LocalBackendChanged,
-                 EventLoopStalled, DrainStarted, AnswerBytesWritten,
-                 ClaimRequested, ClaimGranted, ClaimDenied, ClaimUnused,
-                 ClaimWritten, CallEnded, ConfigurationRelayChanged,
-                 EarlierBackendKnown, OwnRecordReceived, LeaveRecorded>;
+/// The time for draining is over. Calls that have not been answered get their
+/// final answers now, since the daemon exits.
+struct DrainLimitReached {
+  MSGPACK_DEFINE()
+};
+
+using Event = std::variant<
+    Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
+    DatagramReceived, PlatformReplied, CallerRequested, CallerDisconnected,
+    BackendAnswered, OperatorRequested, OperatorDisconnected, ShutdownRequested,
+    ConfigurationAdopted, HeadObserved, MemberChanged, LocalBackendChanged,
+    EventLoopStalled, DrainStarted, AnswerBytesWritten, ClaimRequested,
+    ClaimGranted, ClaimDenied, ClaimUnused, ClaimWritten, CallEnded,
+    ConfigurationRelayChanged, EarlierBackendKnown, OwnRecordReceived,
+    LeaveRecorded, DrainLimitReached>;
 
 }  // namespace buckthorncart
 
--- a/Source/Plugins/Admission/admission_inl.h
+++ b/Source/Plugins/Admission/admission_inl.h
@@ -71,6 +71,9 @@
     HandleEarlierBackend(ctx, earlier->backend);
   } else if (const auto* recorded = std::get_if<LeaveRecorded>(&event)) {
     HandleLeaveRecorded(ctx, recorded->backend);
+  } else if (std::holds_alternative<DrainLimitReached>(event)) {
+    RefuseQueued(ctx, Errc::kDraining);
+    RefuseAwaitingBody(ctx, Errc::kDraining);
   } else if (const auto* granted = std::get_if<ClaimGranted>(&event)) {
     StartOrQueue(ctx, granted->run);
   } else if (const auto* denied = std::get_if<ClaimDenied>(&event)) {
--- a/Source/Plugins/Admission/drain.cc
+++ b/Source/Plugins/Admission/drain.cc
@@ -54,6 +54,7 @@
       std::chrono::milliseconds(ctx.Settings().drain_limit_ms);
   if (!done && elapsed < max_duration) return;
   if (std::exchange(exit_requested_, true)) return;
+  if (!done) ctx.Raise(DrainLimitReached{});
   ctx.Log(LogTopic::kDrained,
           {{"calls", std::to_string(ctx.Shared().active_calls)}});
   ctx.Emit(Exit{});
--- a/Source/Plugins/Requests/call_router.h
+++ b/Source/Plugins/Requests/call_router.h
@@ -133,6 +133,9 @@
   void HandlePeerLost(Context& ctx, Address peer);
   void HandleCallerLeft(Context& ctx, uint64_t call);
   void HandleDeadline(Context& ctx, uint64_t call);
+  /// Ends a call whose outcome is not awaited any more.
+  void GiveUp(Context& ctx, ActiveCall& active, Errc reason);
+  void GiveUpAll(Context& ctx);
   void HandleMemberChanged(Context& ctx, Address address);
 
   /// Marks the connections of unanswered calls as in use, so that their health
--- a/Source/Plugins/Requests/call_router_inl.h
+++ b/Source/Plugins/Requests/call_router_inl.h
@@ -51,6 +51,8 @@
     HandleMemberChanged(ctx, changed->address);
   } else if (std::holds_alternative<LocalBackendChanged>(event)) {
     backend_stats_.UpdateMember(ctx.Shared().self, ctx.Now());
+  } else if (std::holds_alternative<DrainLimitReached>(event)) {
+    GiveUpAll(ctx);
   }
 }
 
@@ -286,23 +288,39 @@
 void CallRouter<Choice, Rules>::HandleDeadline(Context& ctx, uint64_t call) {
   const auto it = active_.find(call);
   if (it == active_.end()) return;
-  ActiveCall& active = it->second;
+  const ActiveCall& active = it->second;
+  backend_stats_.RecordAbandoned(active.admitting, active.route.name,
+                                 ctx.Now() - active.sent_at, ctx.Now());
+  GiveUp(ctx, it->second, Errc::kDeadlineExpired);
+}
+
+template <BackendChoice Choice, RequestRules Rules>
+void CallRouter<Choice, Rules>::GiveUp(Context& ctx, ActiveCall& active,
+                                       Errc reason) {
+  const uint64_t call = active.call;
   ReleasePeer(active);
   const bool not_run = IsBodyIncomplete(active);
   if (active.route.repeatable || not_run)
     ctx.Send(active.admitting, CancelCall{call});
-  backend_stats_.RecordAbandoned(active.admitting, active.route.name,
-                                 ctx.Now() - active.sent_at, ctx.Now());
   if (active.head_sent) {
     AbortAnswer(ctx, call);
     return;
   }
   RecordAttempt(ctx, active, active.admitting, "no-answer");
-  AnswerFailure(ctx, call, Errc::kDeadlineExpired,
+  AnswerFailure(ctx, call, reason,
                 not_run ? Outcome::kNotRun : Outcome::kUnknown);
   Finish(ctx, call);
 }
 
+template <BackendChoice Choice, RequestRules Rules>
+void CallRouter<Choice, Rules>::GiveUpAll(Context& ctx) {
+  std::vector<uint64_t> calls;
+  for (const auto& [call, active] : active_) calls.push_back(call);
+  for (const uint64_t call : calls) {
+    GiveUp(ctx, active_.at(call), Errc::kDraining);
+  }
+}
+
 template <BackendChoice Choice, RequestRules Rules>
 void CallRouter<Choice, Rules>::AnswerFailure(Context& ctx, uint64_t call,
                                               Errc reason, Outcome outcome) {
--- a/Tests/Requests/drain_test.cc
+++ b/Tests/Requests/drain_test.cc
@@ -174,5 +174,66 @@
         }) < 1s);
 }
 
+struct DrainLimitResult {
+  uint64_t unanswered = 0;
+  uint64_t called_not_run = 0;
+  uint64_t runs = 0;
+};
+
+/// Stops `stopped` while the only backend server, which is beside daemon 2,
+/// never answers and further calls wait for a slot, and counts the calls at
+/// daemon 1 that have no answer when the stopped daemon exits.
+DrainLimitResult StopWithUnansweredCalls(uint32_t stopped) {
+  constexpr uint32_t kCalls = 16;
+  constexpr uint32_t kDeadlineMs = 60'000;
+  constexpr uint32_t kDrainLimitMs = 5'000;
+  RequestFleet test(PluginsWith<StandardRequestRules>, {1, 1, kSlots},
+                    [](KernelSettings& settings) {
+                      settings.drain_limit_ms = kDrainLimitMs;
+                    });
+  test.fleet.Behaviours()[test.FirstServer()].never_answers = true;
+  std::vector<uint64_t> calls;
+  for (uint32_t i = 0; i < kCalls; ++i) {
+    calls.push_back(test.Get(1, "/proofs", kDeadlineMs));
+  }
+  test.fleet.Advance(1s);
+  bool exited = false;
+  test.fleet.SetFilter([&](Address, const Effect& effect) {
+    exited = exited || std::holds_alternative<Exit>(effect);
+    return true;
+  });
+  test.fleet.Inject(stopped, ShutdownRequested{});
+  CHECK(test.fleet.AdvanceUntil([&] { return exited; }, 10s));
+  // The messages of the last moment arrive.
+  test.fleet.Advance(10ms);
+  DrainLimitResult result;
+  result.runs = test.fleet.RunsAt(test.FirstServer());
+  for (const uint64_t call : calls) {
+    if (!test.fleet.CallerAnswers().contains(call)) {
+      ++result.unanswered;
+    } else if (test.Outcome(call) == "not-run") {
+      ++result.called_not_run;
+    }
+  }
+  return result;
+}
+
+// Calls that no answer had come for at the drain limit were left until the
+// process was killed, and their callers got neither an answer nor a refusal.
+TEST_CASE("drain: calls left at the drain limit get a final answer") {
+  constexpr uint32_t kReceiver = 1;
+  const DrainLimitResult result = StopWithUnansweredCalls(kReceiver);
+  CHECK(result.unanswered == 0);
+  CHECK(result.called_not_run == 0);
+}
+
+TEST_CASE("drain: calls queued at a daemon at its drain limit are refused") {
+  constexpr uint32_t kAdmitting = 2;
+  const DrainLimitResult result = StopWithUnansweredCalls(kAdmitting);
+  CHECK(result.runs == kSlots);
+  CHECK(result.unanswered == result.runs);
+  CHECK(result.called_not_run > 0);
+}
+
 }  // namespace
 }  // namespace buckthorncart
--- a/Tests/Requests/request_fleet.h
+++ b/Tests/Requests/request_fleet.h
@@ -3,6 +3,7 @@
 /// Simulated fleet for tests of call routing and admission, with rules that a
 /// test can switch off.
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -43,12 +44,19 @@
     std::vector<std::string> data_centres = {"nl-west-a"};
   };
 
-  RequestFleet(FakeFleet::PluginFactory plugins, const Size& size)
+  using AdjustSettings = std::function<void(KernelSettings&)>;
+
+  RequestFleet(FakeFleet::PluginFactory plugins, const Size& size,
+               const AdjustSettings& adjust = {})
       : fleet(std::move(plugins)), size(size) {
-    for (uint32_t n = 1; n <= size.receivers; ++n) fleet.Add(n, "nl-west-a");
+    const auto add = [&](uint32_t n, const std::string& data_centre) {
+      KernelSettings settings = TestSettings(n, data_centre);
+      if (adjust) adjust(settings);
+      fleet.Add(settings);
+    };
+    for (uint32_t n = 1; n <= size.receivers; ++n) add(n, "nl-west-a");
     for (uint32_t i = 0; i < size.servers; ++i) {
-      fleet.Add(FirstServer() + i,
-                size.data_centres[i % size.data_centres.size()]);
+      add(FirstServer() + i, size.data_centres[i % size.data_centres.size()]);
     }
     fleet.StartAll();
     for (uint32_t i = 0; i < size.servers; ++i) {
