--- a/Source/Plugins/Requests/call_router.h
+++ b/Source/Plugins/Requests/call_router.h
@@ -206,3 +206,4 @@
 #include "Plugins/Requests/call_router_attempts_inl.h"
 #include "Plugins/Requests/call_router_bodies_inl.h"
 #include "Plugins/Requests/call_router_inl.h"
+#include "Plugins/Requests/call_router_results_inl.h"
