Stop reading from a caller that sends on while it is answered

What callers saw: nothing yet; found by reading.

Cause: bytes after a request that is being answered were buffered without limit.

Change: the server stops reading once 64 KiB have arrived after such a request, and reads on after the answer.

Weighed: closing the connection, which cuts an answer that is due; counting the bytes against the memory of bodies, which lets such a caller shut out uploads. While reading is stopped the server does not notice that this caller leaves.

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -28,8 +28,9 @@
 }
 
 AnswerPart HttpServerHandler::MakeOverloadAnswer() {
+  constexpr uint16_t kServiceUnavailable = 503;
   AnswerPart part;
-  part.status = 503;
+  part.status = kServiceUnavailable;
   part.end = AnswerEnd::kComplete;
   return part;
 }
--- a/Source/Net/http_session.h
+++ b/Source/Net/http_session.h
@@ -50,6 +50,7 @@
   void OnBytes(std::string_view bytes) override {
     reader_.Append(bytes);
     ReadNext();
+    LimitReadAhead();
   }
 
   void OnWritten() override { WritePending(); }
@@ -73,6 +74,9 @@
   static constexpr size_t kHighWaterBytes = 65'536;
   /// Bodies up to this size are bounded by the number of connections.
   static constexpr uint64_t kMaxUncountedBytes = 16'384;
+  /// Reading stops when this much has arrived after a request that is being
+  /// answered.
+  static constexpr size_t kMaxReadAheadBytes = 65'536;
 
   static bool HasBody(uint16_t status) {
     constexpr uint16_t kNoContent = 204;
@@ -80,6 +84,16 @@
     return status != kNoContent && status != kNotModified;
   }
 
+  /// Stops reading from a client that keeps sending while its request is being
+  /// answered.
+  void LimitReadAhead() {
+    const bool too_far = stream_ != nullptr && answering_ &&
+                         reader_.UnparsedBytes() > kMaxReadAheadBytes;
+    if (too_far && !std::exchange(reading_stopped_, true)) {
+      stream_->SetReading(false);
+    }
+  }
+
   void ReadNext() {
     // A handler that answers synchronously re-enters this function; the outer
     // call then continues with the next request.
@@ -222,6 +236,7 @@
       CloseConnection(true);
       return;
     }
+    if (std::exchange(reading_stopped_, false)) stream_->SetReading(true);
     ReadNext();
   }
 
@@ -252,6 +267,7 @@
   bool is_head_request_ = false;
   bool close_after_answer_ = false;
   bool in_read_loop_ = false;
+  bool reading_stopped_ = false;
   AnswerFraming framing_ = AnswerFraming::kLength;
   std::deque<AnswerPart> pending_parts_;
   size_t buffered_bytes_ = 0;
--- a/Source/Wire/http_request_reader.cc
+++ b/Source/Wire/http_request_reader.cc
@@ -46,6 +46,10 @@
   return known ? beast_parser->content_length().value_or(0) : 0;
 }
 
+size_t HttpRequestReader::UnparsedBytes() const {
+  return parser_->messages.RestBytes();
+}
+
 bool HttpRequestReader::KeepsAlive() const {
   const auto* beast_parser = parser_->messages.Current();
   return beast_parser != nullptr && beast_parser->keep_alive();
--- a/Source/Wire/http_request_reader.h
+++ b/Source/Wire/http_request_reader.h
@@ -43,6 +43,8 @@
   uint64_t BodyBytes() const;
   /// Returns the size of that body if its length is given, otherwise 0.
   uint64_t AnnouncedBodyBytes() const;
+  /// Returns the number of bytes that have been added but not parsed.
+  size_t UnparsedBytes() const;
   /// Returns true if the sender keeps the connection open. Valid only if the
   /// request is complete.
   bool KeepsAlive() const;
--- a/Source/Wire/message_parser.h
+++ b/Source/Wire/message_parser.h
@@ -36,7 +36,8 @@
 
   void Append(std::string_view bytes) { buffer_.append(bytes); }
   /// Returns true if the buffer contains bytes that have not been parsed.
-  bool HasRest() const { return offset_ < buffer_.size(); }
+  bool HasRest() const { return RestBytes() > 0; }
+  size_t RestBytes() const { return buffer_.size() - offset_; }
 
   /// Returns the parser of the current message, created if necessary.
   BeastParser& Get() {
--- a/Tests/EndToEnd/large_body_test.cc
+++ b/Tests/EndToEnd/large_body_test.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "EndToEnd/process_fleet.h"
@@ -130,5 +131,25 @@
   CHECK(test.ServesLargestUpload());
 }
 
+// A caller that keeps sending while its request is answered filled the memory.
+TEST_CASE("large body: bytes sent during an answer are not read without end") {
+  constexpr size_t kPieceBytes = 1U << 20U;
+  constexpr int kPieces = 300;
+  UploadFleet test(1);
+  RawConnection connection(test.fleet.Callers(1));
+  connection.Send("GET /p/1?time-ms=3000 HTTP/1.1\r\nhost: h\r\n\r\n");
+  std::thread sender([&connection] {
+    const std::string piece(kPieceBytes, 'b');
+    for (int i = 0; i < kPieces; ++i) connection.Send(piece);
+  });
+  const std::string answer = connection.ReceiveUntilClosed(10s);
+  sender.join();
+  CHECK(answer.starts_with("HTTP/1.1 200 "));
+  CHECK(test.fleet.Get(test.fleet.Callers(1), "/p/1").status == 200);
+  const uint64_t peak = PeakMemoryKiB(test.pids[0]);
+  MESSAGE("peak memory " << peak << " KiB");
+  CHECK(peak <= kMaxPeakKiB);
+}
+
 }  // namespace
 }  // namespace buckthorncart
