--- a/Source/Wire/shared_body.h
+++ b/Source/Wire/shared_body.h
@@ -27,8 +27,8 @@
   operator std::string_view() const { return Text(); }
 
   const std::string& Text() const {
-    static const std::string kEmpty;
-    return text_ == nullptr ? kEmpty : *text_;
+    static const std::string empty_text;
+    return text_ == nullptr ? empty_text : *text_;
   }
   size_t size() const { return Text().size(); }
   bool empty() const { return text_ == nullptr; }
