--- a/Utilities/mixed_fleet.sh
+++ b/Utilities/mixed_fleet.sh
@@ -63,9 +63,11 @@
 
 tool() { "$1/buckthorncart" --daemon "$net.$2:7402" "${@:3}"; }
 
-# True when each daemon reports four daemons alive with ready backend servers.
+# True when each daemon is ready and reports four daemons alive with ready backend
+# servers.
 complete() {
   for n in 1 2 3 4; do
+    curl -sf "http://$net.$n:7402/ready" > /dev/null || return 1
     [ "$(tool "$new" "$n" daemons 2> /dev/null | grep -c "alive.*ready")" = 4 ] || return 1
   done
 }
