Detect a restored store, so that its changes are followed

Cause: the follower continued its watch at a version of the lost copy. The store gives such versions again, so that the new row was not newer than the cursor. Nothing read `Store-Era`.

The follower then reads the row.

--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -251,17 +251,25 @@
   MSGPACK_DEFINE(capacity, pace_per_mille)
 };
 
-using Event =
-    std::variant<Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
-                 DatagramReceived, PlatformReplied, CallerRequested,
-                 CallerDisconnected, BackendAnswered, OperatorRequested,
-                 OperatorDisconnected, ShutdownRequested, ConfigurationAdopted,
-                 HeadObserved, MemberChanged, LocalBackendChanged,
-                 EventLoopStalled, DrainStarted, AnswerBytesWritten,
-                 ClaimRequested, ClaimGranted, ClaimDenied, ClaimUnused,
-                 ClaimWritten, CallEnded, ConfigurationRelayChanged,
-                 EarlierBackendKnown, OwnRecordReceived, LeaveRecorded,
-                 DrainLimitReached, CallerBodiesChanged, LocalCapacityChanged>;
+/// The platform's store has been restored from an older copy. Rows written
+/// since that copy may be gone, and their versions are given to other rows.
+/// Each plug-in stores again what it has had acknowledged, and ignores the
+/// replies to its earlier requests.
+struct PlatformRestored {
+  uint64_t era = 0;
+  MSGPACK_DEFINE(era)
+};
+
+using Event = std::variant<
+    Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
+    DatagramReceived, PlatformReplied, CallerRequested, CallerDisconnected,
+    BackendAnswered, OperatorRequested, OperatorDisconnected, ShutdownRequested,
+    ConfigurationAdopted, HeadObserved, MemberChanged, LocalBackendChanged,
+    EventLoopStalled, DrainStarted, AnswerBytesWritten, ClaimRequested,
+    ClaimGranted, ClaimDenied, ClaimUnused, ClaimWritten, CallEnded,
+    ConfigurationRelayChanged, EarlierBackendKnown, OwnRecordReceived,
+    LeaveRecorded, DrainLimitReached, CallerBodiesChanged, LocalCapacityChanged,
+    PlatformRestored>;
 
 }  // namespace buckthorncart
 
--- a/Source/Kernel/metric_help.cc
+++ b/Source/Kernel/metric_help.cc
@@ -146,6 +146,9 @@
      "Requests refused because the queue was full, requests."},
     {"platform_queue_length", "Requests waiting for the platform, requests."},
     {"platform_available", "1 while the platform answers, 0 otherwise."},
+    {"platform_restores_total",
+     "Restores of the platform's store from an older copy that were detected, "
+     "restores."},
     {"peer_connections", "Open connections to daemons, connections."},
     {"peer_sent_bytes_total", "Sent to daemons over TCP, bytes."},
     {"peer_received_bytes_total", "Received from daemons over TCP, bytes."},
--- a/Source/Kernel/shared_state.h
+++ b/Source/Kernel/shared_state.h
@@ -70,6 +70,9 @@
   /// Decides which versions of a service may get calls; null if roll-outs are
   /// not staged (roll-outs).
   VersionGate* version_gate = nullptr;
+  /// Latest era of the platform's store that this daemon has heard of (restore
+  /// detector).
+  uint64_t platform_era = 0;
 };
 
 }  // namespace buckthorncart
--- a/Source/Platform/platform_messages.h
+++ b/Source/Platform/platform_messages.h
@@ -104,7 +104,11 @@
   std::optional<std::string> object;
   /// Store version of `rows`, to be passed to the next watch.
   uint64_t version = 0;
-  MSGPACK_DEFINE(status, rows, object, version)
+  /// Number of times that the store has been restored from a copy, as it says
+  /// itself; 0 if it does not say. Versions of different eras cannot be
+  /// compared.
+  uint64_t era = 0;
+  MSGPACK_DEFINE(status, rows, object, version, era)
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/Configuration/configuration_follower.cc
+++ b/Source/Plugins/Configuration/configuration_follower.cc
@@ -87,9 +87,18 @@
     HandlePeerMessage(ctx, *message);
   } else if (const auto* changed = std::get_if<MemberChanged>(&event)) {
     HandleMemberChanged(ctx, changed->address);
+  } else if (std::holds_alternative<PlatformRestored>(event)) {
+    HandleRestore(ctx);
   }
 }
 
+/// A watch from a version of the earlier era would miss changes, since the
+/// restored store gives those versions to other rows.
+void ConfigurationFollower::HandleRestore(Context& ctx) {
+  platform_version_ = 0;
+  if (!uses_relays_) Read(ctx);
+}
+
 /// Repeats a watch that may have been lost: a relay that has lost the platform
 /// says so by its member record.
 void ConfigurationFollower::HandleMemberChanged(Context& ctx, Address address) {
--- a/Source/Plugins/Configuration/configuration_follower.h
+++ b/Source/Plugins/Configuration/configuration_follower.h
@@ -86,6 +86,7 @@
   void HandleTimer(Context& ctx, const TimerFired& timer);
   void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
   void HandleMemberChanged(Context& ctx, Address address);
+  void HandleRestore(Context& ctx);
   /// Records that `peer` holds `version` and schedules a pull if it is newer.
   void RecordPeerVersion(Context& ctx, Address peer, uint64_t version);
   void PullIfBehind(Context& ctx);
@@ -99,7 +100,8 @@
 
   ConfigurationStore<FollowedRules> store_;
   std::optional<uint64_t> tag_;
-  /// Version of the platform's store in its last reply; 0 before the first one.
+  /// Version of the platform's store in its last reply; 0 before the first one
+  /// of the present era.
   uint64_t platform_version_ = 0;
   /// Time of the platform's last successful reply.
   Time last_reply_at_{};
--- a/Source/Plugins/Membership/membership_table_inl.h
+++ b/Source/Plugins/Membership/membership_table_inl.h
@@ -227,7 +227,8 @@
 template <MembershipRules Rules>
 Gossip Membership<Rules>::MakeGossip(Context& ctx, Address to) {
   Gossip gossip{ctx.Shared().held->version, updates_.Take(kMaxGossipBytes),
-                TableDigest(CurrentBucketDigests(ctx))};
+                TableDigest(CurrentBucketDigests(ctx)),
+                ctx.Shared().platform_era};
   const auto it = ctx.Shared().members.find(to);
   const bool not_alive = it != ctx.Shared().members.end() &&
                          it->second.status != MemberStatus::kAlive;
--- a/Source/Wire/datagrams.h
+++ b/Source/Wire/datagrams.h
@@ -23,7 +23,9 @@
   std::vector<Member> members;
   /// Digest of the sender's member table; 0 if not given.
   uint64_t table_digest = 0;
-  MSGPACK_DEFINE(version, members, table_digest)
+  /// Latest era of the platform's store that the sender has heard of.
+  uint64_t platform_era = 0;
+  MSGPACK_DEFINE(version, members, table_digest, platform_era)
 };
 
 /// Requests a `ProbeAck` with the same sequence number.
@@ -50,10 +52,12 @@
   MSGPACK_DEFINE(sequence, target, gossip)
 };
 
-/// Announces that the sender has configuration version `version`.
+/// Announces that the sender has configuration version `version`, and the
+/// latest era of the platform's store that it has heard of.
 struct VersionHint {
   uint64_t version = 0;
-  MSGPACK_DEFINE(version)
+  uint64_t platform_era = 0;
+  MSGPACK_DEFINE(version, platform_era)
 };
 
 /// Requests the member records of all buckets whose digests differ from those
--- a/Tests/Platform/row_store_test.cc
+++ b/Tests/Platform/row_store_test.cc
@@ -183,6 +183,55 @@
   CHECK(test.standin.Get("rollout", "lead") == "theirs");
 }
 
+TEST_CASE("row store: replies name the era of the store") {
+  for (const bool restored : {false, true}) {
+    Fixture test;
+    test.standin.Put("left", "10.0.0.1:1", "row");
+    if (restored) test.standin.Restore();
+    const auto reply = test.SendRequest(ReadRows{{"left/10.0.0.1:1"}});
+    CHECK(reply.status == PlatformStatus::kOk);
+    CHECK(reply.era == (restored ? 2 : 1));
+    CHECK(reply.rows.size() == (restored ? 0 : 1));
+  }
+}
+
+TEST_CASE("row store: a watch beyond the version of a restored store") {
+  Fixture test;
+  test.standin.Restore();
+  const auto reply = test.SendRequest(WatchRow{"configuration", 7, 100});
+  CHECK(reply.status == PlatformStatus::kHistoryLost);
+  CHECK(reply.era == 2);
+}
+
+// The store gives the version of a lost row to another value, so that a
+// condition on that version is met although its value is not there.
+TEST_CASE("row store: a condition that is met by accident counts as unknown") {
+  Fixture test;
+  test.standin.TakeCopy();
+  test.standin.Put("rollout", "lead", "ours");
+  test.standin.RunAfterRead([&test] {
+    test.standin.Restore();
+    test.standin.Put("rollout", "lead", "theirs");
+  });
+  const auto reply = test.SendRequest(
+      Transaction{{{"rollout/lead", "ours"}}, {{"rollout/x", "new"}}});
+  CHECK(reply.status == PlatformStatus::kUnknown);
+  CHECK(reply.rows.empty());
+  CHECK(reply.era == 2);
+}
+
+TEST_CASE("row store: conditions that were read in two eras are not used") {
+  Fixture test;
+  test.standin.Put("rollout", "lead", "ours");
+  test.standin.TakeCopy();
+  test.standin.RunAfterRead([&test] { test.standin.Restore(); });
+  const auto reply = test.SendRequest(
+      Transaction{{{"rollout/lead", "ours"}, {"rollout/x", std::nullopt}},
+                  {{"rollout/x", "new"}}});
+  CHECK(reply.status == PlatformStatus::kUnavailable);
+  CHECK(test.standin.Get("rollout", "x").empty());
+}
+
 TEST_CASE(
     "row store: a transaction whose conditions cannot be read is not "
     "carried out") {
--- a/Tests/Support/fake_fleet.h
+++ b/Tests/Support/fake_fleet.h
@@ -128,6 +128,11 @@
   const std::map<uint64_t, Time>& AnsweredAt() const { return answered_at_; }
 
   MemoryTable& Table() { return table_; }
+  /// Replaces the contents of the platform's store by an earlier copy, and
+  /// begins its next era. Open watches break unless `keeps_watches` is set.
+  void RestorePlatform(const MemoryTable& copy, bool keeps_watches = false);
+  /// Ends all open watches without a reply, as when their connections break.
+  void BreakWatches();
   /// Writes a row as an operator does, regardless of simulated faults.
   void Put(const std::string& key, const std::string& value);
   /// Discards the history, so that watches from earlier versions fail.
@@ -156,6 +161,7 @@
   void HandleWatch(FakeDaemon& from, uint64_t tag, const WatchRow& watch);
   /// Answers the watches whose row has changed or whose wait time is over.
   void ServeWatches();
+  void ReplyFromPlatform(uint32_t to, uint64_t tag, PlatformReply reply);
   BackendBehaviour BehaviourFor(uint32_t n, const HttpRequest& request);
   void HandleBackendCall(FakeDaemon& from, const CallBackend& call);
   void HandleBackendCancel(const FakeDaemon& from,
@@ -212,6 +218,7 @@
   Time now_ = 1h;
   Duration delay_ = 1ms;
   MemoryTable table_;
+  uint64_t platform_era_ = 1;
   PlatformFault platform_fault_ = PlatformFault::kNone;
   uint64_t platform_reads_ = 0;
   uint64_t platform_writes_ = 0;
--- a/Tests/Support/fake_fleet_servers.cc
+++ b/Tests/Support/fake_fleet_servers.cc
@@ -39,16 +39,21 @@
   if (platform_fault_ == PlatformFault::kLoseAnswers) {
     reply = {PlatformStatus::kUnknown, {}, {}, 0};
   }
-  Schedule(kPlatformDelay, n, PlatformReplied{call.tag, std::move(reply)});
+  ReplyFromPlatform(n, call.tag, std::move(reply));
+}
+
+void FakeFleet::ReplyFromPlatform(uint32_t to, uint64_t tag,
+                                  PlatformReply reply) {
+  reply.era = platform_era_;
+  Schedule(kPlatformDelay, to, PlatformReplied{tag, std::move(reply)});
 }
 
 void FakeFleet::HandleWatch(FakeDaemon& from, uint64_t tag,
                             const WatchRow& watch) {
   const uint32_t n = NumberOf(from.Self());
   ++platform_reads_;
-  if (watch.after < history_start_) {
-    Schedule(kPlatformDelay, n,
-             PlatformReplied{tag, {PlatformStatus::kHistoryLost, {}, {}, 0}});
+  if (watch.after < history_start_ || watch.after > table_.Version()) {
+    ReplyFromPlatform(n, tag, {PlatformStatus::kHistoryLost, {}, {}, 0});
     return;
   }
   watches_.push_back({n, process_ids_.at(n), tag, watch,
@@ -65,12 +70,25 @@
     if (gone || down || refused_daemons_.contains(pending.daemon)) return gone;
     PlatformReply reply = table_.Apply(pending.watch);
     if (reply.rows.empty() && now_ < pending.until) return false;
-    Schedule(kPlatformDelay, pending.daemon,
-             PlatformReplied{pending.tag, std::move(reply)});
+    ReplyFromPlatform(pending.daemon, pending.tag, std::move(reply));
     return true;
   });
 }
 
+void FakeFleet::RestorePlatform(const MemoryTable& copy, bool keeps_watches) {
+  table_ = copy;
+  ++platform_era_;
+  if (!keeps_watches) BreakWatches();
+}
+
+void FakeFleet::BreakWatches() {
+  for (const PendingWatch& pending : std::exchange(watches_, {})) {
+    const PlatformReply broken{PlatformStatus::kUnknown, {}, {}, 0};
+    Schedule(kPlatformDelay, pending.daemon,
+             PlatformReplied{pending.tag, broken});
+  }
+}
+
 void FakeFleet::Put(const std::string& key, const std::string& value) {
   table_.Apply(Transaction{{}, {{key, value}}});
   ServeWatches();
--- a/Tests/Support/followed_fleet.h
+++ b/Tests/Support/followed_fleet.h
@@ -4,6 +4,7 @@
 /// operators.
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Plugins/Configuration/configuration_follower.h"
@@ -17,7 +18,11 @@
 struct FollowedFleet {
   /// Daemons 1 to `relays` relay the configuration; by default all of them do.
   explicit FollowedFleet(uint32_t size, uint32_t slots = 4,
-                         uint32_t relays = ~0U) {
+                         uint32_t relays = ~0U)
+      : FollowedFleet(size, StandardPlugins, slots, relays) {}
+  FollowedFleet(uint32_t size, FakeFleet::PluginFactory plugins,
+                uint32_t slots = 4, uint32_t relays = ~0U)
+      : fleet(std::move(plugins)) {
     constexpr uint32_t kDataCentres = 3;
     std::vector<KernelSettings> all;
     for (uint32_t n = 1; n <= size; ++n) {
--- a/Utilities/RowStoreStandin/row_store_standin.cc
+++ b/Utilities/RowStoreStandin/row_store_standin.cc
@@ -56,6 +56,13 @@
   ServeWatches();
 }
 
+void RowStoreStandin::Restore() {
+  rows_ = copy_.rows;
+  version_ = copy_.version;
+  history_start_ = 0;
+  ++era_;
+}
+
 std::string RowStoreStandin::Get(const std::string& table,
                                  const std::string& key) const {
   const auto it = rows_.find({table, key});
@@ -70,6 +77,8 @@
     const auto fault = ParseEnum<StoreFault>(url.Get("fault"));
     if (fault) SetFault(*fault);
     if (url.Get("compact") == "yes") Compact();
+    if (url.Get("copy") == "yes") TakeCopy();
+    if (url.Get("restore") == "yes") Restore();
     Answer(id, 200, "{}");
     return;
   }
@@ -124,7 +133,8 @@
   if (fault_ == StoreFault::kAnswerLost) return;
   AnswerPart part;
   part.status = status;
-  part.headers = {{"content-type", "application/json"}};
+  part.headers = {{"content-type", "application/json"},
+                  {"Store-Era", std::to_string(era_)}};
   part.body = body;
   part.end = AnswerEnd::kComplete;
   server_.Answer(id, std::move(part), false);
@@ -194,13 +204,14 @@
              R"(,"nowS":1.5,"new":{"x":1}})");
   const auto [row_id, value] = std::exchange(change_after_read_, {});
   if (row_id.first == table) Put(row_id.first, row_id.second, value);
+  if (after_read_) std::exchange(after_read_, nullptr)();
 }
 
 void RowStoreStandin::ServeWatch(uint64_t id, const std::string& path) {
   const Url url = ParseUrl(path);
   const Watch watch{std::string(url.Get("table")),
                     ParseNumber(url.Get("after"))};
-  if (watch.after < history_start_) {
+  if (watch.after < history_start_ || watch.after > version_) {
     Answer(id, 410, "{}");
     return;
   }
--- a/Utilities/RowStoreStandin/row_store_standin.h
+++ b/Utilities/RowStoreStandin/row_store_standin.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -38,7 +39,8 @@
 };
 
 /// Implements the published row calls. `GET /control?fault=NAME` sets a fault,
-/// `/control?compact=yes` discards the change history.
+/// `/control?compact=yes` discards the change history, `/control?copy=yes`
+/// takes a copy of the rows and `/control?restore=yes` goes back to it.
 class RowStoreStandin : private HttpServerHandler {
  public:
   explicit RowStoreStandin(Loop& loop);
@@ -53,10 +55,19 @@
                        const std::string& value) {
     change_after_read_ = {{table, key}, value};
   }
+  /// Calls `action` once, after the next read.
+  void RunAfterRead(std::function<void()> action) {
+    after_read_ = std::move(action);
+  }
   void SetFault(StoreFault fault) { fault_ = fault; }
   /// Discards the change history, so that watches from earlier versions fail
   /// and their clients must read the rows again.
   void Compact() { history_start_ = version_; }
+  /// Takes a copy of the rows for `Restore`.
+  void TakeCopy() { copy_ = {rows_, version_}; }
+  /// Goes back to the last copy and begins the next era. Versions continue from
+  /// that of the copy.
+  void Restore();
   uint64_t Calls() const { return calls_; }
 
  private:
@@ -66,6 +77,10 @@
     uint64_t version = 0;
     bool deleted = false;
   };
+  struct Copy {
+    std::map<RowId, Row> rows;
+    uint64_t version = 0;
+  };
   struct Watch {
     std::string table;
     uint64_t after = 0;
@@ -90,9 +105,13 @@
   StoreFault fault_ = StoreFault::kNone;
   uint64_t version_ = 0;
   uint64_t history_start_ = 0;
+  /// Number of restores, and one.
+  uint64_t era_ = 1;
+  Copy copy_;
   uint64_t calls_ = 0;
   /// Row and value; the table is empty if there is no such change.
   std::pair<RowId, std::string> change_after_read_;
+  std::function<void()> after_read_;
 };
 
 }  // namespace buckthorncart
