Refuse transfer codings other than chunked

Cause: Boost.Beast takes a request whose last coding is not `chunked` for one without a body. RFC 9112, 6.3 asks for 400 and a closed connection.

Only the single coding `chunked` is read now, and not in HTTP/1.0. The same holds for answers, whose coding would be lost on the way to the caller.

Evidence: `request reader: a transfer coding that is not chunked is rejected` (12 forms), `answer reader: ...`.

--- a/Source/Wire/message_parser.h
+++ b/Source/Wire/message_parser.h
@@ -82,6 +82,7 @@
                        ec);
       offset_ += n;
       if (in_head) CountHead(n);
+      if (in_head && HasUnknownCoding()) return ReadState::kMalformed;
       if (ec == boost::beast::http::error::need_more) break;
       if (ec) return StateOf(ec);
       if (n == 0) break;
@@ -142,6 +143,21 @@
     return ReadState::kMalformed;
   }
 
+  /// Returns true if the body has a transfer coding other than `chunked`. Where
+  /// such a body ends is not known, or its coding would be lost on the way
+  /// (RFC 9112, 6.1 and 6.3).
+  bool HasUnknownCoding() const {
+    if (!parser_->is_header_done()) return false;
+    const auto& message = parser_->get();
+    const auto codings =
+        message.equal_range(boost::beast::http::field::transfer_encoding);
+    if (codings.first == codings.second) return false;
+    constexpr unsigned kHttp11 = 11;
+    const bool is_single = std::next(codings.first) == codings.second;
+    return !is_single || message.version() < kHttp11 ||
+           LowerCase(ToView(codings.first->value())) != "chunked";
+  }
+
   /// Counts `n` further bytes of the head, and its fields once it is complete.
   void CountHead(size_t n) {
     head_bytes_ = std::min<size_t>(head_bytes_ + n, limits_.head_bytes);
--- a/Tests/Wire/http_reader_test.cc
+++ b/Tests/Wire/http_reader_test.cc
@@ -66,6 +66,38 @@
   }
 }
 
+// Review case 10: the body of a request with another coding was taken for the
+// next request.
+TEST_CASE("request reader: a transfer coding that is not chunked is rejected") {
+  for (const char* coding :
+       {"gzip", "identity", "", "chunked, gzip", "gzip, chunked", "xchunked",
+        "chunked, identity", "chunked;q=1",
+        "chunked\r\nTransfer-Encoding: gzip",
+        "gzip\r\nTransfer-Encoding: chunked", "gzip\r\nContent-Length: 40",
+        "identity\r\nContent-Length: 0"}) {
+    HttpRequestReader reader({});
+    reader.Append(std::string("POST /outer HTTP/1.1\r\nTransfer-Encoding: ") +
+                  coding + "\r\n\r\nPOST /inner HTTP/1.1\r\n\r\n");
+    CAPTURE(coding);
+    CHECK(reader.Advance() == ReadState::kMalformed);
+  }
+  HttpRequestReader old_reader({});
+  old_reader.Append(
+      "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  CHECK(old_reader.Advance() == ReadState::kMalformed);
+  HttpRequestReader reader({});
+  reader.Append(
+      "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n0\r\n\r\n");
+  CHECK(reader.Advance() == ReadState::kWhole);
+}
+
+TEST_CASE("answer reader: a transfer coding that is not chunked is rejected") {
+  HttpAnswerReader reader({});
+  reader.Begin("GET");
+  reader.Append("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc");
+  CHECK(reader.Advance() == ReadState::kMalformed);
+}
+
 TEST_CASE("request reader: head and body over their limits are rejected") {
   HttpRequestReader head_reader({1'024, 100});
   head_reader.Append("GET / HTTP/1.1\r\nCookie: " + std::string(2'000, 'c'));
