Reserve no memory for a length that a peer announces

Cause: `string_body` of Boost.Beast reserves the announced length before a byte of the body has arrived. Lengths of up to 2 GB went unnoticed, since the memory is not touched; with a smaller limit of the address space they would not.

`ReceivedBody` collects what arrives. Bodies of known length grow as those in chunks do. Checked by reading that frames, msgpack and withheld bodies reserve nothing that is not counted or bounded.

--- a/Source/Wire/message_parser.h
+++ b/Source/Wire/message_parser.h
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <iterator>
 #include <optional>
 #include <string>
@@ -15,6 +14,7 @@
 #include "Wire/http.h"
 #include "Wire/http_limits.h"
 #include "Wire/http_request_reader.h"
+#include "Wire/received_body.h"
 
 namespace buckthorncart {
 
@@ -30,8 +30,7 @@
 template <bool kIsRequest>
 class MessageParser {
  public:
-  using BeastParser =
-      boost::beast::http::parser<kIsRequest, boost::beast::http::string_body>;
+  using BeastParser = boost::beast::http::parser<kIsRequest, ReceivedBody>;
 
   explicit MessageParser(const HttpLimits& limits) : limits_(limits) {}
 
@@ -183,20 +182,21 @@
     offset_ = 0;
   }
 
-  /// Enlarges a body in chunks in few large steps, before its next bytes are
-  /// parsed. Doubling would hold up to three times its size while it is copied.
-  /// The unused part of a large block is never touched and takes no memory.
+  /// Enlarges a body in few large steps, before its next bytes are parsed.
+  /// Doubling would hold up to three times its size while it is copied. The
+  /// unused part of a large block is never touched and takes no memory. What a
+  /// peer announces is no reason to reserve it: the length may be any number.
   void GrowBody() {
-    // Space for a body of known length is reserved by the parser.
-    if (!Get().is_header_done() || Get().content_length()) return;
+    if (!Get().is_header_done()) return;
     std::string& body = parser_->get().body();
     const size_t needed = body.size() + RestBytes();
     if (needed <= body.capacity() || needed < kFirstGrownBytes) return;
     const uint64_t step = std::max<uint64_t>(needed * kGrowth, kMinLargeBytes);
     // The rest of the buffer may be longer than what is allowed of the body.
     if (body.size() > limits_.body_bytes) return;
-    body.reserve(static_cast<size_t>(
-        std::min<uint64_t>(step, limits_.body_bytes + kMinLargeBytes)));
+    const uint64_t most =
+        Get().content_length().value_or(limits_.body_bytes + kMinLargeBytes);
+    body.reserve(static_cast<size_t>(std::min<uint64_t>(step, most)));
   }
 
   static constexpr size_t kKeptCapacityBytes = 4'096;
@@ -205,7 +205,7 @@
   /// Blocks from this size on are returned to the system when they are freed
   /// (`ReturnFreeMemory`).
   static constexpr size_t kMinLargeBytes = 262'144;
-  /// Bodies in chunks that are smaller grow by doubling.
+  /// Smaller bodies grow by doubling.
   static constexpr size_t kFirstGrownBytes = 16'384;
   static constexpr uint64_t kGrowth = 8;
 
--- a/Tests/Wire/http_reader_test.cc
+++ b/Tests/Wire/http_reader_test.cc
@@ -98,6 +98,33 @@
   CHECK(reader.Advance() == ReadState::kMalformed);
 }
 
+// Report of another operator: an announced length alone ended the process.
+TEST_CASE("answer reader: an announced length is not reserved") {
+  constexpr uint64_t kAnyLength = ~0ULL;
+  for (const char* length :
+       {"900000000000", "9223372036854775800", "18446744073709551615"}) {
+    HttpAnswerReader reader({16'384, kAnyLength});
+    reader.Begin("GET");
+    CAPTURE(length);
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    reader.Append(head + length + "\r\n\r\nfirst");
+    CHECK(reader.Advance() == ReadState::kPartial);
+    CHECK(reader.Take().body == "first");
+    reader.Append(std::string(100'000, 'x'));
+    CHECK(reader.Advance() == ReadState::kPartial);
+    CHECK(reader.Take().body.size() == 100'000);
+  }
+}
+
+TEST_CASE("request reader: an announced length is not reserved") {
+  constexpr uint64_t kAnyLength = ~0ULL;
+  constexpr size_t kMaxBufferBytes = 4'096;
+  HttpRequestReader reader({16'384, kAnyLength});
+  reader.Append("POST / HTTP/1.1\r\nContent-Length: 900000000000\r\n\r\nfirst");
+  CHECK(reader.Advance() == ReadState::kPartial);
+  CHECK(reader.BodyMemory() <= kMaxBufferBytes);
+}
+
 TEST_CASE("request reader: head and body over their limits are rejected") {
   HttpRequestReader head_reader({1'024, 100});
   head_reader.Append("GET / HTTP/1.1\r\nCookie: " + std::string(2'000, 'c'));
