Believe only who can know of an earlier departure

Cause: a daemon that has just started took the table of a peer that had just started itself, and then a store without a row, for proof that its earlier process had acknowledged nothing.

`EarlierBackendKnown` says whether it is conclusive: a record of an earlier process that was itself sure, at a daemon that has run all the time, or a missing row, since the first process at an address writes one. Otherwise a start is taken after 4.5 s of announcements, or if it is about as young as the process (a VM that starts).

Cost: one write for the first process at an address; 4.5 s to 6 s without their backend servers if all daemons were killed at once.

Evidence: `restart: all daemons killed, and the platform knows no departure` (late heartbeats, a second kill, draining, an earlier departure), with a control; `restart: the store loses a departure ...`, with a control; `restore: the rows of all daemons are stored again`.

--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -214,7 +214,9 @@
 /// knew about the backend server; `backend` has no id if it was nothing.
 struct EarlierBackendKnown {
   BackendAnnouncement backend;
-  MSGPACK_DEFINE(backend)
+  /// True if the earlier process has not acknowledged anything else.
+  bool is_conclusive = false;
+  MSGPACK_DEFINE(backend, is_conclusive)
 };
 
 /// A peer has received the record of this daemon with `sequence`.
--- a/Source/Plugins/Admission/admission.h
+++ b/Source/Plugins/Admission/admission.h
@@ -123,7 +123,7 @@
   void AnswerAnnouncement(Context& ctx, uint64_t request);
   void HandleLeaveRecorded(Context& ctx, const BackendAnnouncement& backend);
   void HandleLeaveAnswerTimeout(Context& ctx, uint64_t request);
-  void HandleEarlierBackend(Context& ctx, const BackendAnnouncement& earlier);
+  void HandleEarlierBackend(Context& ctx, const EarlierBackendKnown& known);
   void TakeOver(Context& ctx, BackendAnnouncement backend);
   void SetBackend(Context& ctx, BackendAnnouncement backend);
   Errc ReasonToRefuse(Context& ctx, const Call& call);
--- a/Source/Plugins/Admission/admission_announcements_inl.h
+++ b/Source/Plugins/Admission/admission_announcements_inl.h
@@ -38,7 +38,11 @@
                       announcement.error());
     return;
   }
+  const bool awaited = announcement_filter_.IsAwaitingRecord();
   if (announcement_filter_.Accept(*announcement, ctx.WallMilliseconds())) {
+    // The start that announces itself is proof that it has not ended.
+    const bool confirmed = awaited && !announcement_filter_.IsAwaitingRecord();
+    if (confirmed) ctx.Raise(EarlierBackendKnown{{}, true});
     TakeOver(ctx, std::move(announcement->backend));
     AnswerAnnouncement(ctx, request.request);
     return;
@@ -100,9 +104,9 @@
 }
 
 template <RequestRules Rules>
-void Admission<Rules>::HandleEarlierBackend(
-    Context& ctx, const BackendAnnouncement& earlier) {
-  const bool first = announcement_filter_.IsAwaitingRecord();
+void Admission<Rules>::HandleEarlierBackend(Context& ctx,
+                                            const EarlierBackendKnown& known) {
+  const BackendAnnouncement& earlier = known.backend;
   if (announcement_filter_.Restore(earlier)) {
     BackendAnnouncement ended;
     ended.id = earlier.id;
@@ -110,7 +114,9 @@
     ended.left = true;
     SetBackend(ctx, std::move(ended));
   }
-  if (!first || !held_announcement_) return;
+  if (!known.is_conclusive) return;
+  announcement_filter_.EndAwaiting();
+  if (!held_announcement_) return;
   const ReceivedAnnouncement held =
       *std::exchange(held_announcement_, std::nullopt);
   if (announcement_filter_.Accept(held, ctx.WallMilliseconds())) {
--- a/Source/Plugins/Admission/admission_inl.h
+++ b/Source/Plugins/Admission/admission_inl.h
@@ -25,9 +25,7 @@
 template <RequestRules Rules>
 Admission<Rules>::Admission(const KernelSettings& settings)
     : body_transfers_(settings.link_kbps),
-      body_memory_(BytesOfKib(settings.body_memory_kib)) {
-  announcement_filter_.AwaitRecord();
-}
+      body_memory_(BytesOfKib(settings.body_memory_kib)) {}
 
 template <RequestRules Rules>
 void Admission<Rules>::Attach(Context& ctx) {
@@ -78,8 +76,10 @@
     } else if (timer->kind == TimerKind::kLeaveAnswer) {
       HandleLeaveAnswerTimeout(ctx, timer->argument);
     }
+  } else if (const auto* started = std::get_if<Started>(&event)) {
+    announcement_filter_.AwaitRecord(started->wall_ms);
   } else if (const auto* earlier = std::get_if<EarlierBackendKnown>(&event)) {
-    HandleEarlierBackend(ctx, earlier->backend);
+    HandleEarlierBackend(ctx, *earlier);
   } else if (const auto* recorded = std::get_if<LeaveRecorded>(&event)) {
     HandleLeaveRecorded(ctx, recorded->backend);
   } else if (std::holds_alternative<DrainLimitReached>(event)) {
--- a/Source/Plugins/Admission/announcement_filter.cc
+++ b/Source/Plugins/Admission/announcement_filter.cc
@@ -10,11 +10,13 @@
 /// Largest difference between the wall clocks of a backend server and of its
 /// daemon that is taken for an inaccurate clock.
 constexpr uint64_t kMaxClockOffsetMs = 600'000;
+/// Longest time from the start of a backend server to that of its daemon if
+/// both start with their VM. No backend server ends within it.
+constexpr uint64_t kMaxBootMs = 1'000;
 
 }  // namespace
 
 bool AnnouncementFilter::Restore(const BackendAnnouncement& earlier) {
-  awaiting_record_ = false;
   if (earlier.id.empty()) return false;
   const bool is_newer =
       !accepted_any_ &&
@@ -40,8 +42,7 @@
   const BackendAnnouncement& backend = announcement.backend;
   const bool is_leaving = IsLeaving(backend.state);
   if (!is_leaving && HasEnded(backend)) return false;
-  const bool unconfirmed =
-      awaiting_record_ && !is_leaving && !backend.id.empty();
+  const bool unconfirmed = !is_leaving && MayHaveEnded(backend);
   if (unconfirmed || !IsUpToDate(announcement, wall_ms)) {
     if (is_leaving || !TakesOver(announcement, wall_ms)) return false;
   }
@@ -82,6 +83,13 @@
          backend.started_ms <= ended_through_ms_;
 }
 
+bool AnnouncementFilter::MayHaveEnded(
+    const BackendAnnouncement& backend) const {
+  if (!awaiting_record_ || backend.id.empty()) return false;
+  return backend.started_ms == 0 ||
+         backend.started_ms + kMaxBootMs < process_started_ms_;
+}
+
 /// Returns true if the start has announced itself for longer than an
 /// announcement can be delayed.
 bool AnnouncementFilter::TakesOver(const ReceivedAnnouncement& announcement,
@@ -115,6 +123,7 @@
   if (started_ms != 0) started_ms_ = started_ms;
   sequence_ = announcement.sequence;
   accepted_any_ = true;
+  if (!IsLeaving(backend.state)) awaiting_record_ = false;
   candidate_ = {};
 }
 
--- a/Source/Plugins/Admission/announcement_filter.h
+++ b/Source/Plugins/Admission/announcement_filter.h
@@ -21,9 +21,15 @@
 /// announcement can be delayed, while the recorded start has been silent.
 class AnnouncementFilter {
  public:
-  /// Until `Restore` is called, a start is accepted only when it has announced
-  /// itself for that long, unless it announces no id.
-  void AwaitRecord() { awaiting_record_ = true; }
+  /// Until `EndAwaiting` is called, a start is accepted only when it has
+  /// announced itself for that long, unless it announces no id or is about as
+  /// young as this process, which started at `started_ms` (milliseconds since
+  /// the epoch).
+  void AwaitRecord(uint64_t started_ms) {
+    awaiting_record_ = true;
+    process_started_ms_ = started_ms;
+  }
+  void EndAwaiting() { awaiting_record_ = false; }
   bool IsAwaitingRecord() const { return awaiting_record_; }
 
   /// Takes over what an earlier process of this daemon knew; `earlier` has no
@@ -58,6 +64,9 @@
   bool IsUpToDate(const ReceivedAnnouncement& announcement,
                   uint64_t wall_ms) const;
   bool HasEnded(const BackendAnnouncement& backend) const;
+  /// Returns true if an earlier process may have acknowledged the end of the
+  /// start.
+  bool MayHaveEnded(const BackendAnnouncement& backend) const;
   bool TakesOver(const ReceivedAnnouncement& announcement, uint64_t wall_ms);
   void Record(const ReceivedAnnouncement& announcement, uint64_t wall_ms);
 
@@ -66,6 +75,7 @@
   uint64_t sequence_ = 0;
   uint64_t ended_through_ms_ = 0;
   bool awaiting_record_ = false;
+  uint64_t process_started_ms_ = 0;
   /// False while all that is known comes from `Restore`.
   bool accepted_any_ = false;
   Candidate candidate_;
--- a/Source/Plugins/Admission/leave_record.h
+++ b/Source/Plugins/Admission/leave_record.h
@@ -40,11 +40,18 @@
 template <typename R>
 concept LeaveRecordRules = requires {
   { R::kUsePlatform } -> std::convertible_to<bool>;
+  { R::kDoubtAbsence } -> std::convertible_to<bool>;
+  { R::kStoreAgain } -> std::convertible_to<bool>;
 };
 
 struct StandardLeaveRecordRules {
   /// The end of a start is written to the platform and read at the start.
   static constexpr bool kUsePlatform = true;
+  /// A platform without the end of a start does not prove that an earlier
+  /// process has acknowledged none.
+  static constexpr bool kDoubtAbsence = true;
+  /// The row is written again after a restore of the platform's store.
+  static constexpr bool kStoreAgain = true;
 };
 
 /// A daemon that is restarted must not take a delayed announcement for the
@@ -53,8 +60,16 @@
 /// acknowledged, and reads it when it starts. While the platform does not
 /// answer, the member records at two other daemons take its place.
 ///
-/// Load on the platform: one read at the start of a daemon, one write for each
-/// backend server that leaves; each is repeated once a second until it is
+/// If all of them end before the platform answers again, nobody knows of the
+/// acknowledgement. A platform without a record is therefore no proof, and the
+/// new process waits for a daemon that has run all the time, or for the backend
+/// server to announce itself for longer than an announcement can be late. Only
+/// a missing row proves that no process has run at this address before: the
+/// first one writes a row without an end of a start.
+///
+/// Load on the platform: one read at the start of a daemon, one write for the
+/// first process at an address, for each backend server that leaves and for
+/// each restore of the store; each is repeated once a second until it is
 /// answered.
 template <LeaveRecordRules Rules>
 class LeaveRecord : public Plugin {
@@ -69,16 +84,20 @@
   void HandleRow(Context& ctx, const PlatformReply& reply);
   void HandleBackend(Context& ctx, const BackendAnnouncement& backend);
   void HandleTick(Context& ctx);
+  void HandleRestore(Context& ctx);
+  bool HasLeave() const { return !leaving_.id.empty(); }
   /// Returns true if enough other daemons know of the end of the start.
   bool IsHeldByPeers(Context& ctx) const;
   void Finish(Context& ctx);
 
-  /// The start that is recorded last or being recorded; no id if there is none.
+  /// The start that is recorded last or being recorded, and the value of the
+  /// row; no id if there is none.
   BackendAnnouncement leaving_;
   /// True once `leaving_` is recorded anywhere.
   bool recorded_ = false;
-  /// True once the platform has `leaving_`.
-  bool stored_ = false;
+  /// Whether the platform has the row, as far as this daemon knows, or none is
+  /// needed yet.
+  bool stored_ = true;
   /// Whether the row of an earlier process has been read.
   bool read_ = false;
   Time leaving_since_{};
--- a/Source/Plugins/Admission/leave_record_inl.h
+++ b/Source/Plugins/Admission/leave_record_inl.h
@@ -3,6 +3,8 @@
 /// Definitions of `LeaveRecord`; included by leave_record.h.
 
 #include <algorithm>
+#include <optional>
+#include <string>
 #include <utility>
 
 #include "Kernel/context.h"
@@ -17,6 +19,11 @@
 inline constexpr Duration kLeavePlatformTime = 300ms;
 /// Number of other daemons whose records take the place of the platform's row.
 inline constexpr size_t kLeaveHolders = 2;
+/// Time after the end of a start in which its announcements may still arrive.
+inline constexpr Duration kRecentLeaveTime = 10s;
+/// Mean time between the writes of two daemons after a restore of the
+/// platform's store.
+inline constexpr Duration kLeaveRestoreInterval = 5ms;
 
 template <LeaveRecordRules Rules>
 void LeaveRecord<Rules>::Attach(Context& ctx) {
@@ -33,6 +40,8 @@
     HandleBackend(ctx, changed->backend);
   } else if (const auto* received = std::get_if<OwnRecordReceived>(&event)) {
     if (received->sequence >= own_sequence_) holders_.insert(received->peer);
+  } else if (std::holds_alternative<PlatformRestored>(event)) {
+    if (Rules::kStoreAgain) HandleRestore(ctx);
   } else if (const auto* timer = std::get_if<TimerFired>(&event)) {
     if (timer->kind == TimerKind::kTick) HandleTick(ctx);
   }
@@ -42,7 +51,7 @@
 void LeaveRecord<Rules>::Read(Context& ctx) {
   if (!Rules::kUsePlatform) {
     read_ = true;
-    ctx.Raise(EarlierBackendKnown{});
+    ctx.Raise(EarlierBackendKnown{{}, true});
     return;
   }
   counters_.Add(LeaveRecordCounter::kReads);
@@ -62,10 +71,13 @@
   }
   counters_.Add(LeaveRecordCounter::kWrites);
   next_write_ = ctx.Now() + kLeaveRetryInterval;
+  const std::string key = LeaveRecordKey(ctx.Settings().self);
+  Transaction transaction;
+  // A first row that is written late must not replace the end of a start.
+  if (!HasLeave()) transaction.conditions.push_back({key, std::nullopt});
+  transaction.writes.push_back({key, Encode(leaving_)});
   const auto tag = ctx.Shared().platform->Submit(
-      ctx, PlatformPriority::kBackground,
-      Transaction{{},
-                  {{LeaveRecordKey(ctx.Settings().self), Encode(leaving_)}}});
+      ctx, PlatformPriority::kBackground, std::move(transaction));
   write_tag_ = tag.value_or(0);
 }
 
@@ -78,7 +90,9 @@
     if (ok && !std::exchange(read_, true)) HandleRow(ctx, replied.reply);
   } else if (replied.tag == write_tag_) {
     write_tag_ = 0;
-    if (!ok) return;
+    const bool exists =
+        replied.reply.status == PlatformStatus::kConditionFailed;
+    if (!ok && !exists) return;
     stored_ = true;
     Finish(ctx);
   }
@@ -88,18 +102,21 @@
 void LeaveRecord<Rules>::HandleRow(Context& ctx, const PlatformReply& reply) {
   EarlierBackendKnown known;
   const auto row = reply.rows.find(LeaveRecordKey(ctx.Settings().self));
-  if (row != reply.rows.end()) {
+  const bool is_first_process = row == reply.rows.end();
+  known.is_conclusive = is_first_process || !Rules::kDoubtAbsence;
+  if (!is_first_process) {
     // A row that cannot be decoded is not of a daemon.
     const auto backend = Decode<BackendAnnouncement>(row->second);
     if (backend && backend->left) known.backend = *backend;
   }
-  const bool is_recorded = known.backend.left && leaving_.id.empty();
-  if (is_recorded) {
+  if (known.backend.left && !HasLeave()) {
     leaving_ = known.backend;
     recorded_ = true;
-    stored_ = true;
   }
   ctx.Raise(std::move(known));
+  if (!is_first_process || HasLeave()) return;
+  stored_ = false;
+  Write(ctx);
 }
 
 template <LeaveRecordRules Rules>
@@ -124,16 +141,37 @@
 void LeaveRecord<Rules>::HandleTick(Context& ctx) {
   // A slow platform may take longer than the interval.
   if (!read_ && read_tag_ == 0 && ctx.Now() >= next_read_) Read(ctx);
-  const bool unfinished = !leaving_.id.empty() && !stored_;
-  if (!unfinished) return;
+  if (stored_) return;
   if (write_tag_ == 0 && ctx.Now() >= next_write_) Write(ctx);
   const bool platform_is_late =
       ctx.Now() - leaving_since_ >= kLeavePlatformTime;
-  if (recorded_ || !platform_is_late || !IsHeldByPeers(ctx)) return;
+  if (!HasLeave() || recorded_ || !platform_is_late || !IsHeldByPeers(ctx))
+    return;
   counters_.Add(LeaveRecordCounter::kHeldByPeers);
   Finish(ctx);
 }
 
+/// The restored store may lack the row. An end that is recent is stored at
+/// once, since announcements from before it may still arrive at a new process.
+template <LeaveRecordRules Rules>
+void LeaveRecord<Rules>::HandleRestore(Context& ctx) {
+  // Nothing has been stored yet.
+  if (!read_ && !HasLeave()) return;
+  stored_ = false;
+  write_tag_ = 0;
+  const bool is_recent =
+      HasLeave() && ctx.Now() - leaving_since_ < kRecentLeaveTime;
+  if (is_recent) {
+    Write(ctx);
+    return;
+  }
+  const auto daemons = static_cast<int64_t>(ctx.Shared().members.size()) + 1;
+  const Duration spread = kLeaveRestoreInterval * daemons;
+  next_write_ =
+      ctx.Now() +
+      Duration(ctx.RandomBelow(static_cast<uint32_t>(spread.count())));
+}
+
 template <LeaveRecordRules Rules>
 bool LeaveRecord<Rules>::IsHeldByPeers(Context& ctx) const {
   const auto& members = ctx.Shared().members;
@@ -147,7 +185,7 @@
 
 template <LeaveRecordRules Rules>
 void LeaveRecord<Rules>::Finish(Context& ctx) {
-  if (std::exchange(recorded_, true)) return;
+  if (!HasLeave() || std::exchange(recorded_, true)) return;
   ctx.Raise(LeaveRecorded{leaving_});
 }
 
--- a/Source/Plugins/Membership/membership.h
+++ b/Source/Plugins/Membership/membership.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -79,6 +80,9 @@
   void HandleScan(Context& ctx, const PlatformReply& reply);
 
   void AnnounceToPlatform(Context& ctx);
+  void HandleRestore(Context& ctx);
+  void AnnounceAgain(Context& ctx);
+  void HandleEarlierBackend(Context& ctx, bool is_conclusive);
   void Join(Context& ctx);
   void Rejoin(Context& ctx);
   void ProbeNext(Context& ctx);
@@ -130,6 +134,8 @@
   uint64_t announcement_tag_ = 0;
   /// Whether the platform has stored the row of this daemon.
   bool announced_ = false;
+  /// When the row is stored again after a restore of the platform's store.
+  std::optional<Time> announce_again_at_;
   /// Whether the rows of all daemons have been read from the platform.
   bool scanned_ = false;
   Time last_pull_{};
--- a/Source/Plugins/Membership/membership_inl.h
+++ b/Source/Plugins/Membership/membership_inl.h
@@ -19,6 +19,9 @@
 /// leaving.
 inline constexpr size_t kIndirectProbes = 3;
 inline constexpr Duration kRejoinInterval = 1s;
+/// Mean time between the writes of two daemons after a restore of the
+/// platform's store.
+inline constexpr Duration kRestoreInterval = 5ms;
 /// Interval of the attempts to reach a member that is marked as gone.
 inline constexpr Duration kReconnectInterval = 5s;
 /// Time between two events after which this daemon counts its own event loop as
@@ -67,13 +70,37 @@
                  std::get_if<ConfigurationRelayChanged>(&event)) {
     ctx.Shared().self.relays = relay->can_relay;
     UpdateSelf(ctx);
-  } else if (std::holds_alternative<EarlierBackendKnown>(event)) {
-    if (!std::exchange(published_, true)) UpdateSelf(ctx);
+  } else if (const auto* known = std::get_if<EarlierBackendKnown>(&event)) {
+    HandleEarlierBackend(ctx, known->is_conclusive);
   } else if (std::holds_alternative<DrainStarted>(event)) {
     Leave(ctx);
+  } else if (std::holds_alternative<PlatformRestored>(event)) {
+    HandleRestore(ctx);
   }
 }
 
+/// The restored store may lack the row of this daemon, by which those that
+/// start find the fleet. All daemons store theirs again, spread over a time
+/// that keeps the rate of writes independent of the size of the fleet.
+template <MembershipRules Rules>
+void Membership<Rules>::HandleRestore(Context& ctx) {
+  announced_ = false;
+  announcement_tag_ = 0;
+  const auto daemons = static_cast<int64_t>(ctx.Shared().members.size()) + 1;
+  const Duration spread = kRestoreInterval * daemons;
+  const Duration delay(ctx.RandomBelow(static_cast<uint32_t>(spread.count())));
+  announce_again_at_ = ctx.Now() + delay;
+}
+
+template <MembershipRules Rules>
+void Membership<Rules>::HandleEarlierBackend(Context& ctx, bool is_conclusive) {
+  Member& self = ctx.Shared().self;
+  const bool is_first = !std::exchange(published_, true);
+  const bool confirms =
+      is_conclusive && !std::exchange(self.is_confirmed, true);
+  if (is_first || confirms) UpdateSelf(ctx);
+}
+
 /// Drops pending probes and postpones the expiry of suspicions if the event
 /// loop of this daemon was blocked: time in which it could not receive answers
 /// is no evidence that other members failed.
@@ -95,6 +122,7 @@
   self.data_centre = ctx.Settings().data_centre;
   self.incarnation = wall_ms;
   self.link_kbps = ctx.Settings().link_kbps;
+  self.is_confirmed = false;
   UpdateSelf(ctx);
   AnnounceToPlatform(ctx);
   Join(ctx);
@@ -125,6 +153,13 @@
   }
 }
 
+template <MembershipRules Rules>
+void Membership<Rules>::AnnounceAgain(Context& ctx) {
+  if (!announce_again_at_ || ctx.Now() < *announce_again_at_) return;
+  announce_again_at_.reset();
+  if (ctx.Shared().self.status == MemberStatus::kAlive) AnnounceToPlatform(ctx);
+}
+
 template <MembershipRules Rules>
 void Membership<Rules>::HandlePlatform(Context& ctx,
                                        const PlatformReplied& replied) {
@@ -148,7 +183,9 @@
     if (!address || *address == ctx.Settings().self) continue;
     join_candidates_.emplace(*address, ctx.Now());
   }
-  if (ctx.Shared().members.empty()) Join(ctx);
+  // The others may have a record of an earlier process at this address.
+  const bool asks = !ctx.Shared().self.is_confirmed;
+  if (ctx.Shared().members.empty() || asks) Join(ctx);
 }
 
 template <MembershipRules Rules>
@@ -171,6 +208,7 @@
     case TimerKind::kTick:
       ExpireSuspects(ctx);
       if (Rules::kRemoveGone) RemoveGoneMembers(ctx);
+      AnnounceAgain(ctx);
       break;
     case TimerKind::kProbe:
       ctx.SetTimerIn(std::chrono::milliseconds(ctx.Settings().probe_period_ms),
--- a/Source/Plugins/Membership/membership_table_inl.h
+++ b/Source/Plugins/Membership/membership_table_inl.h
@@ -73,6 +73,10 @@
   // Records that do not fit are sent when the peer asks again; the random order
   // lets each record be sent eventually.
   std::shuffle(differing.begin(), differing.end(), ctx.Random());
+  // The record of an earlier process of the peer goes first, which waits for
+  // it.
+  std::partition(differing.begin(), differing.end(),
+                 [from](const Member& m) { return m.address == from; });
   auto it = differing.begin();
   for (size_t i = 0; i < kMaxRecordDatagrams && it != differing.end(); ++i) {
     Gossip gossip{ctx.Shared().held->version, {}, 0};
@@ -100,7 +104,8 @@
   // Records of a full table are not disseminated, since other members have
   // already received them.
   for (const Member& member : push->members) Merge(ctx, member, false);
-  // A peer that has no record of an earlier process knows of none.
+  // A peer that has no record of an earlier process may have started later than
+  // that ended, so that this is no proof.
   if (!published_) ctx.Raise(EarlierBackendKnown{});
 }
 
@@ -147,7 +152,8 @@
 template <MembershipRules Rules>
 void Membership<Rules>::HandleOwnRecord(Context& ctx, const Member& record) {
   const bool is_earlier = record.incarnation != ctx.Shared().self.incarnation;
-  if (is_earlier) ctx.Raise(EarlierBackendKnown{record.backend});
+  if (is_earlier)
+    ctx.Raise(EarlierBackendKnown{record.backend, record.is_confirmed});
   RefuteIfNeeded(ctx, record);
 }
 
@@ -174,6 +180,14 @@
   const bool first = !stored.address.IsSet();
   const bool status_changed = first || stored.status != member.status;
   const bool was_leaving = stored.status == MemberStatus::kLeaving;
+  // The new process may not know yet that its backend server has left.
+  const bool replaces_leave = !first && stored.backend.left &&
+                              stored.incarnation != member.incarnation &&
+                              !member.backend.left;
+  if (replaces_leave) {
+    ctx.SendUdp(member.address,
+                MemberRecords{{ctx.Shared().held->version, {stored}}});
+  }
   stored = member;
   if (member.status == MemberStatus::kSuspect) {
     suspected_since_.emplace(member.address, ctx.Now());
--- a/Source/Wire/member.h
+++ b/Source/Wire/member.h
@@ -88,6 +88,9 @@
   /// Run times of the backend server as a multiple of those that are typical of
   /// the routes, in per mille; 0 if not known.
   uint32_t pace_per_mille = 0;
+  /// False while the daemon may not know what earlier processes at its address
+  /// have acknowledged to their backend servers.
+  bool is_confirmed = true;
 
   /// Returns true if this record replaces `other`, a record of the same
   /// address.
@@ -99,7 +102,7 @@
   /// range, or the record is too large for a datagram.
   bool IsValid() const;
   MSGPACK_DEFINE(address, data_centre, incarnation, sequence, status, backend,
-                 relays, link_kbps, capacity, pace_per_mille)
+                 relays, link_kbps, capacity, pace_per_mille, is_confirmed)
 };
 
 }  // namespace buckthorncart
--- a/Tests/Requests/restart_test.cc
+++ b/Tests/Requests/restart_test.cc
@@ -8,6 +8,7 @@
 
 #include "Plugins/Admission/leave_record.h"
 #include "Support/fake_fleet.h"
+#include "Wire/codec.h"
 
 namespace buckthorncart {
 namespace {
@@ -60,6 +61,13 @@
     CHECK(!IsInUse());
   }
 
+  /// Kills all daemons at once, and starts new ones `down` later.
+  void KillAll(Duration down) {
+    for (const uint32_t n : fleet.Numbers()) fleet.Kill(n);
+    fleet.Advance(down);
+    for (const uint32_t n : {1U, 2U, 3U}) fleet.Restart(n);
+  }
+
   FakeFleet fleet;
 };
 
@@ -91,12 +99,13 @@
   static constexpr bool kUsePlatform = false;
 };
 
-FakeDaemon::Plugins PluginsWithoutRecord(const KernelSettings& settings) {
+template <LeaveRecordRules Rules>
+FakeDaemon::Plugins PluginsWith(const KernelSettings& settings) {
   FakeDaemon::Plugins plugins = StandardPlugins(settings);
   for (auto& plugin : plugins) {
     using Standard = LeaveRecord<StandardLeaveRecordRules>;
     if (dynamic_cast<Standard*>(plugin.get()) == nullptr) continue;
-    plugin = std::make_unique<LeaveRecord<PlatformNotUsed>>();
+    plugin = std::make_unique<LeaveRecord<Rules>>();
   }
   return plugins;
 }
@@ -106,9 +115,7 @@
 bool ReturnsAfterKillOfAll(FakeFleet::PluginFactory plugins) {
   RestartFleet test(std::move(plugins));
   CHECK(test.Announce(Departure("i-1", kBorn)) == "announced");
-  for (const uint32_t n : {1U, 2U, 3U}) test.fleet.Kill(n);
-  test.fleet.Advance(1s);
-  for (const uint32_t n : {1U, 2U, 3U}) test.fleet.Restart(n);
+  test.KillAll(1s);
   test.fleet.Advance(200ms);
   test.Announce(Announcement("i-1", "ready", kBorn, 2));
   return test.IsInUse();
@@ -119,7 +126,159 @@
 }
 
 TEST_CASE("restart control: without the record the server is in use again") {
-  CHECK(ReturnsAfterKillOfAll(PluginsWithoutRecord));
+  CHECK(ReturnsAfterKillOfAll(PluginsWith<PlatformNotUsed>));
+}
+
+struct AbsenceTrusted : StandardLeaveRecordRules {
+  static constexpr bool kDoubtAbsence = false;
+};
+
+/// A departure that only other daemons have recorded, and what follows it.
+struct LostDeparture {
+  /// The backend server announces that it is draining, and nothing more.
+  bool drains = false;
+  /// Late announcements that arrive after the kill of all daemons.
+  uint64_t late_announcements = 1;
+  /// All daemons are killed once more, after the platform is back.
+  bool second_kill = false;
+  /// Another start, of another id, has left before and is on the platform.
+  bool earlier_departure = false;
+};
+
+/// Returns true if the late announcements put the backend server into use.
+bool ReturnsAfter(const LostDeparture& scenario,
+                  FakeFleet::PluginFactory plugins = StandardPlugins) {
+  RestartFleet test(std::move(plugins));
+  bool in_use = false;
+  uint64_t born = kBorn;
+  std::string id = "i-1";
+  if (scenario.earlier_departure) {
+    CHECK(test.Announce(Departure(id, born)) == "announced");
+    test.fleet.Advance(1s);
+    id = "i-2";
+    born += 60'000;
+    CHECK(test.Announce(Announcement(id, "ready", born, 1)) == "announced");
+  }
+  test.fleet.SetPlatformFault(PlatformFault::kDown);
+  test.fleet.Advance(300ms);
+  CHECK(test.Announce(scenario.drains ? Announcement(id, "draining", born, 8)
+                                      : Departure(id, born)) == "announced");
+  test.fleet.Advance(700ms);
+  test.KillAll(500ms);
+  test.fleet.SetObserver(
+      [&](FakeDaemon& /*daemon*/) { in_use = in_use || test.IsInUse(); });
+  for (uint64_t i = 0; i < scenario.late_announcements; ++i) {
+    test.fleet.Advance(1s);
+    test.Announce(Announcement(id, "ready", born, 2 + i));
+  }
+  test.fleet.Advance(500ms);
+  test.fleet.SetPlatformFault(PlatformFault::kNone);
+  test.fleet.Advance(200ms);
+  if (scenario.second_kill) {
+    test.KillAll(500ms);
+    test.fleet.Advance(200ms);
+    test.Announce(Announcement(id, "ready", born, 7));
+  }
+  test.fleet.Advance(6s);
+  return in_use;
+}
+
+// Review case 8: the departure was known to daemons only, and all were killed.
+// The new ones took the silence of one another, and then of the platform, for
+// proof that there was none.
+TEST_CASE("restart: all daemons killed, and the platform knows no departure") {
+  CHECK_FALSE(ReturnsAfter({}));
+  CHECK_FALSE(ReturnsAfter({.drains = true}));
+  CHECK_FALSE(ReturnsAfter({.late_announcements = 2}));
+  CHECK_FALSE(ReturnsAfter({.second_kill = true}));
+  CHECK_FALSE(ReturnsAfter({.earlier_departure = true}));
+  CHECK_FALSE(ReturnsAfter({.drains = true,
+                            .late_announcements = 2,
+                            .second_kill = true,
+                            .earlier_departure = true}));
+}
+
+TEST_CASE("restart control: an absent record counts as proof") {
+  CHECK(ReturnsAfter({}, PluginsWith<AbsenceTrusted>));
+  CHECK(ReturnsAfter({.second_kill = true}, PluginsWith<AbsenceTrusted>));
+}
+
+TEST_CASE("restart: all daemons killed, the servers that stay come back") {
+  RestartFleet test;
+  test.fleet.SetPlatformFault(PlatformFault::kDown);
+  test.KillAll(500ms);
+  const Time killed_at = test.fleet.Now();
+  for (uint64_t i = 2; !test.IsInUse() && i < 20; ++i) {
+    test.Announce(Announcement("i-1", "ready", kBorn, i));
+    test.fleet.Advance(1'500ms);
+  }
+  CHECK(test.IsInUse());
+  CHECK(test.fleet.Now() - killed_at < 7s);
+  // The following announcements need no further proof.
+  CHECK(test.Announce(Announcement("i-1", "ready", kBorn, 30)) == "announced");
+}
+
+TEST_CASE("restart: a server that starts with its VM is in use at once") {
+  RestartFleet test;
+  test.KillAll(2s);
+  const uint64_t born =
+      test.fleet.At(kHome).GetContext().Shared().started_wall_ms - 300;
+  CHECK(test.Announce(Announcement("i-1", "ready", born, 1)) == "announced");
+  CHECK(test.IsInUse());
+}
+
+TEST_CASE("restart: a daemon that ran all the time vouches for a server") {
+  RestartFleet test;
+  test.fleet.Advance(3s);
+  test.fleet.Kill(1);
+  test.fleet.Kill(2);
+  test.fleet.Advance(500ms);
+  test.fleet.Restart(1);
+  test.fleet.Restart(2);
+  test.fleet.Advance(100ms);
+  CHECK(test.Announce(Announcement("i-1", "ready", kBorn, 2)) == "announced");
+  CHECK(test.IsInUse());
+}
+
+struct RowNotStoredAgain : StandardLeaveRecordRules {
+  static constexpr bool kStoreAgain = false;
+};
+
+/// The platform's store loses the record of a departure, and the daemon is
+/// killed `later`. Returns true if the platform has the record then.
+bool HasRecordAfterRestore(FakeFleet::PluginFactory plugins, Duration later) {
+  RestartFleet test(std::move(plugins));
+  test.fleet.Advance(1s);
+  const MemoryTable copy = test.fleet.Table();
+  CHECK(test.Announce(Departure("i-1", kBorn)) == "announced");
+  test.fleet.RestorePlatform(copy);
+  // Whoever calls the platform next notices the restore.
+  PlatformReply reply{PlatformStatus::kOk, {}, {}, 0};
+  reply.era = 2;
+  test.fleet.Inject(3, PlatformReplied{1, reply});
+  test.fleet.Advance(later);
+  test.KillAll(500ms);
+  test.fleet.Advance(500ms);
+  test.CheckLateAnnouncement();
+  const auto rows =
+      test.fleet.Table()
+          .Apply(ReadRows{{LeaveRecordKey(TestSettings(kHome, "").self)}})
+          .rows;
+  if (rows.empty()) return false;
+  const auto row = Decode<BackendAnnouncement>(rows.begin()->second);
+  return row && row->left;
+}
+
+TEST_CASE("restart: the store loses a departure, which is stored again") {
+  CHECK(HasRecordAfterRestore(StandardPlugins, 500ms));
+}
+
+TEST_CASE("restart: the store loses a departure, and all daemons are killed") {
+  HasRecordAfterRestore(StandardPlugins, 0ms);
+}
+
+TEST_CASE("restart control: a lost departure is not stored again") {
+  CHECK_FALSE(HasRecordAfterRestore(PluginsWith<RowNotStoredAgain>, 500ms));
 }
 
 TEST_CASE("restart: the platform is away from the departure on") {
