Keep staged roll-outs through a restore of the store

What callers would see: the store loses the decider's lead or last state. Its conditions are then never met; an outcome that operators have read is gone; and a new decider takes the newer state that daemons apply for a rollback, so that a good version is rolled back, after its old backend servers have been stopped.

A token holds the era of the store in its upper half, so that every token of a restored store is higher than those before. The decider takes over again and stores its states once more. Daemons report the state that they apply if it is of an earlier era than the decider's token, and a new decider takes it over.

--- a/Source/Plugins/Rollouts/rollout_decider.cc
+++ b/Source/Plugins/Rollouts/rollout_decider.cc
@@ -7,6 +7,7 @@
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
 #include "Kernel/plugin_registry.h"
+#include "Plugins/Rollouts/fencing_token.h"
 #include "Plugins/Rollouts/member_list.h"
 #include "Plugins/Rollouts/rollout_rows.h"
 #include "Wire/codec.h"
@@ -56,6 +57,8 @@
                    std::get_if<RolloutStates>(&message->message)) {
       HandleStates(ctx, *states);
     }
+  } else if (std::holds_alternative<PlatformRestored>(event)) {
+    HandleRestore(ctx);
   }
 }
 
@@ -109,14 +112,31 @@
                member.address < shared.self.address;
       });
   if (ctx.Now() - lead_heard_at_ < kLeadTimeout + kRankDelay * ahead) return;
+  ReadLead(ctx);
+}
+
+void RolloutDecider::ReadLead(Context& ctx) {
   const auto tag =
-      shared.platform->Submit(ctx, PlatformPriority::kOperator,
-                              ReadRows{{std::string(kRolloutLeadRow)}});
+      ctx.Shared().platform->Submit(ctx, PlatformPriority::kOperator,
+                                    ReadRows{{std::string(kRolloutLeadRow)}});
   if (!tag) return;
   role_ = Role::kReadingLead;
   tag_ = *tag;
 }
 
+void RolloutDecider::HandleRestore(Context& ctx) {
+  const bool leads = role_ == Role::kLead;
+  for (const auto& [service, entry] : entries_) {
+    const Rollout& rollout = entry.board.Current();
+    if (!rollout.target.empty()) acknowledged_[service] = rollout;
+  }
+  StepDown(ctx, Role::kObserver);
+  if (!leads) return;
+  // Others wait until they have not heard of this decider for some time.
+  lead_heard_at_ = ctx.Now() - kLeadTimeout;
+  ReadLead(ctx);
+}
+
 void RolloutDecider::HandleLeadRow(Context& ctx, const PlatformReply& reply) {
   const bool heard = ctx.Now() - lead_heard_at_ < kLeadTimeout;
   if (reply.status != PlatformStatus::kOk || heard) {
@@ -126,7 +146,8 @@
   const std::string key(kRolloutLeadRow);
   const auto it = reply.rows.find(key);
   lead_row_.reset();
-  uint64_t token = lead_.token;
+  uint64_t token =
+      std::max(lead_.token, FirstTokenOf(ctx.Shared().platform_era));
   if (it != reply.rows.end()) {
     lead_row_ = it->second;
     const auto row = Decode<RolloutLead>(it->second);
@@ -178,6 +199,8 @@
     entries_.emplace(rollout->service,
                      Entry{RolloutBoard(*rollout), value, {}, {}, 0, {}});
   }
+  for (const auto& [service, lost] : std::exchange(acknowledged_, {}))
+    AddLost(lost);
   role_ = Role::kLead;
   lead_since_ = ctx.Now();
   orders_read_at_ = ctx.Now();
@@ -195,6 +218,19 @@
   }
 }
 
+void RolloutDecider::AddLost(const Rollout& lost) {
+  const auto it = entries_.find(lost.service);
+  if (it == entries_.end()) {
+    entries_.emplace(lost.service,
+                     Entry{RolloutBoard(lost), {}, {}, {}, 0, {}});
+  } else if (lost.Supersedes(it->second.board.Current())) {
+    it->second.board.Set(lost);
+  } else {
+    return;
+  }
+  Want(entries_.at(lost.service), lost);
+}
+
 void RolloutDecider::StepDown(Context& ctx, Role role) {
   if (role_ == Role::kLead) {
     ctx.Log(LogTopic::kRollout,
--- a/Source/Plugins/Rollouts/rollout_decider.h
+++ b/Source/Plugins/Rollouts/rollout_decider.h
@@ -44,6 +44,10 @@
 /// decider regularly, and the first of them that does not takes over: it reads
 /// the states from the store, and the evidence from the next reports, which are
 /// cumulative.
+///
+/// A store that is restored from an older copy may lose states and the lead.
+/// The decider then takes over again and stores its states once more. If it is
+/// lost too, the daemons report the states that they apply to the next one.
 class RolloutDecider : public Plugin {
  public:
   void Attach(Context& ctx) override;
@@ -83,6 +87,11 @@
   void HandleLeadWritten(Context& ctx, const PlatformReply& reply);
   void HandleStoredStates(Context& ctx, const PlatformReply& reply);
   void StepDown(Context& ctx, Role role);
+  void ReadLead(Context& ctx);
+  /// Takes over again after a restore of the store, in a token of its new era.
+  void HandleRestore(Context& ctx);
+  /// Adds an acknowledged state that the store lacks, to be stored again.
+  void AddLost(const Rollout& lost);
 
   // Decisions.
   void ScanOrders(Context& ctx);
@@ -114,6 +123,9 @@
   Time next_notice_{};
   Time orders_read_at_{};
   std::map<std::string, Entry> entries_;
+  /// States that were stored before a restore of the store, by service, until
+  /// they are known to be stored again.
+  std::map<std::string, Rollout> acknowledged_;
   Counters<DeciderCounter> counters_;
 };
 
--- a/Source/Plugins/Rollouts/rollout_decider_messages.cc
+++ b/Source/Plugins/Rollouts/rollout_decider_messages.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Kernel/context.h"
+#include "Plugins/Rollouts/fencing_token.h"
 #include "Plugins/Rollouts/member_list.h"
 #include "Plugins/Rollouts/rollout_decider.h"
 
@@ -66,6 +67,11 @@
   }
   RolloutStates states = MakeStates(ctx);
   for (const RolloutReport& report : reports.reports) {
+    const bool may_be_lost =
+        !report.applied.target.empty() &&
+        report.applied.service == report.service &&
+        EraOfToken(report.applied.token) < EraOfToken(lead_.token);
+    if (may_be_lost) AddLost(report.applied);
     const auto it = entries_.find(report.service);
     if (it == entries_.end()) {
       Rollout none;
@@ -93,6 +99,7 @@
     StepDown(ctx, Role::kObserver);
   }
   lead_ = {states.lead, states.token};
+  acknowledged_.clear();
   lead_heard_at_ = ctx.Now();
 }
 
--- a/Source/Plugins/Rollouts/rollouts.cc
+++ b/Source/Plugins/Rollouts/rollouts.cc
@@ -6,6 +6,7 @@
 
 #include "Kernel/context.h"
 #include "Kernel/plugin_registry.h"
+#include "Plugins/Rollouts/fencing_token.h"
 #include "Plugins/Rollouts/member_list.h"
 
 namespace buckthorncart {
@@ -109,11 +110,32 @@
   }
   const Address to = ReportTo(ctx);
   if (!to.IsSet()) return;
-  for (RolloutReport& report : reports) report.stopped = IsStopped(ctx, report);
+  for (RolloutReport& report : reports) {
+    report.stopped = IsStopped(ctx, report);
+    const Rollout* applied = gate_.FindRollout(report.service);
+    if (applied != nullptr && MayBeLost(*applied)) report.applied = *applied;
+  }
   counters_.Add(RolloutCounter::kReports);
   ctx.Send(to, RolloutReports{std::move(reports)});
 }
 
+bool Rollouts::MayBeLost(const Rollout& rollout) const {
+  return EraOfToken(rollout.token) < EraOfToken(lead_token_);
+}
+
+void Rollouts::ReportLostState(Context& ctx, const Rollout& announced) {
+  const Rollout* applied = gate_.FindRollout(announced.service);
+  if (applied == nullptr || !MayBeLost(*applied)) return;
+  if (!applied->Supersedes(announced)) return;
+  RolloutReport report;
+  report.service = applied->service;
+  report.target = applied->target;
+  report.token = applied->token;
+  report.revision = applied->revision;
+  report.applied = *applied;
+  ctx.Send(lead_, RolloutReports{{std::move(report)}});
+}
+
 void Rollouts::HandleStates(Context& ctx, const RolloutStates& states) {
   if (states.token < lead_token_ || !states.lead.IsSet()) return;
   counters_.Add(RolloutCounter::kStates);
@@ -122,6 +144,7 @@
   const Duration age = std::chrono::milliseconds(states.age_ms);
   lead_heard_at_ = ctx.Now();
   for (const Rollout& rollout : states.rollouts) {
+    ReportLostState(ctx, rollout);
     if (!rollout.target.empty()) Adopt(ctx, rollout);
     gate_.SetOrdersKnown(rollout.service, ctx.Now() - age);
   }
--- a/Source/Plugins/Rollouts/rollouts.h
+++ b/Source/Plugins/Rollouts/rollouts.h
@@ -40,6 +40,11 @@
   void HandleStates(Context& ctx, const RolloutStates& states);
   void Adopt(Context& ctx, const Rollout& rollout);
   void Report(Context& ctx);
+  /// Returns true if the store may have lost `rollout`: it is of an earlier era
+  /// than the token of the present decider.
+  bool MayBeLost(const Rollout& rollout) const;
+  /// Tells the decider of a newer state than the one that it has announced.
+  void ReportLostState(Context& ctx, const Rollout& announced);
   /// The decider, or a relay that may know it.
   Address ReportTo(Context& ctx) const;
   /// The backend server of this daemon takes no calls because of a roll-out to
--- a/Source/Plugins/Rollouts/version_gate.cc
+++ b/Source/Plugins/Rollouts/version_gate.cc
@@ -294,9 +294,15 @@
   for (const auto& [name, service] : services_) {
     if (!service.needs_orders) continue;
     const Rollout& rollout = service.rollout;
-    RolloutReport report{
-        name,          rollout.target,   rollout.token, rollout.revision,
-        service.calls, service.rejected, false,         {}};
+    RolloutReport report{name,
+                         rollout.target,
+                         rollout.token,
+                         rollout.revision,
+                         service.calls,
+                         service.rejected,
+                         false,
+                         {},
+                         {}};
     if (IsRunning(service)) report.evidence = service.evidence.ToList();
     reports.push_back(std::move(report));
   }
--- a/Source/Wire/rollout_messages.h
+++ b/Source/Wire/rollout_messages.h
@@ -106,8 +106,11 @@
   /// it, and none is admitted.
   bool stopped = false;
   std::vector<RouteEvidence> evidence;
+  /// The state that the sender applies, if it is of an earlier era than the
+  /// decider's token, so that the store may have lost it; else without target.
+  Rollout applied = {};
   MSGPACK_DEFINE(service, target, token, revision, calls, rejected, stopped,
-                 evidence)
+                 evidence, applied)
 };
 
 /// Reports on the services that the sender asks for; the reply is
