Stay in a planned stop until answers have been sent

Cause: the process ended once the last answer had been formatted, though it was in the buffer of its stream; connections that close after their last answer and those to other daemons were not counted at all.

`HttpServer::IsIdle` and the exit now wait until no connection of callers or peers has unsent bytes. Since the process may stay for seconds after the exit was requested, calls that arrive meanwhile get a final answer at the drain limit.

Evidence: `server: not idle until a slow client has got its last answer` (failed before: idle with 16,000,000 bytes to send, kept open and closing), `drain: calls after the exit was requested get a final answer`. Ruled out: a longer fixed delay.

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -139,6 +139,8 @@
 }
 
 bool HttpServer::IsIdle() const {
+  // The last answer of a connection may be with its stream only.
+  if (endpoint_.HasUnsentBytes()) return false;
   return std::none_of(sessions_.begin(), sessions_.end(),
                       [](const auto& item) { return item.second->IsBusy(); });
 }
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -78,7 +78,8 @@
   /// that the client of its other requests has disconnected.
   void Abort(uint64_t id);
 
-  /// Returns true when no request is being read or answered.
+  /// Returns true when no request is being read or answered, and all answers
+  /// have been sent, also those on connections that are closing.
   bool IsIdle() const;
   /// Returns the number of queued body bytes of the answer to request `id` that
   /// have not been passed to its connection yet.
--- a/Source/Net/loop_driver.cc
+++ b/Source/Net/loop_driver.cc
@@ -379,7 +379,8 @@
 
 void LoopDriver::StopWhenIdle(Time earliest, Time latest) {
   const Time now = Loop::Now();
-  const bool idle = callers_.IsIdle();
+  // Peers wait for the answers of calls that have run here.
+  const bool idle = callers_.IsIdle() && !peers_.HasUnsentBytes();
   if (now >= latest || (idle && now >= earliest)) {
     loop_.Stop();
     return;
--- a/Source/Net/peer_transport.h
+++ b/Source/Net/peer_transport.h
@@ -54,6 +54,9 @@
   uint64_t ReceivedBytes() const { return received_bytes_; }
   size_t ConnectionCount() const { return connections_.size(); }
 
+  /// Returns true if messages to some peer have not been sent yet.
+  bool HasUnsentBytes() const { return endpoint_.HasUnsentBytes(); }
+
  private:
   class Connection;
 
--- a/Source/Net/tcp_endpoint.cc
+++ b/Source/Net/tcp_endpoint.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -199,4 +200,10 @@
   return stream;
 }
 
+bool TcpEndpoint::HasUnsentBytes() const {
+  return std::any_of(streams_.begin(), streams_.end(), [](const auto& item) {
+    return item.second->IsOpen() && item.second->BufferedBytes() > 0;
+  });
+}
+
 }  // namespace buckthorncart
--- a/Source/Net/tcp_endpoint.h
+++ b/Source/Net/tcp_endpoint.h
@@ -55,6 +55,9 @@
   /// established.
   Stream& Connect(Address to, StreamHandler& handler);
   size_t ConnectionCount() const { return streams_.size(); }
+  /// Returns true if some connection, which may be closing, has bytes that the
+  /// operating system has not accepted yet.
+  bool HasUnsentBytes() const;
 
  private:
   class Listener;
--- a/Source/Plugins/Admission/drain.cc
+++ b/Source/Plugins/Admission/drain.cc
@@ -52,9 +52,16 @@
   const bool done = idle || (ctx.Shared().refusing_callers && !busy);
   const Duration max_duration =
       std::chrono::milliseconds(ctx.Settings().drain_limit_ms);
-  if (!done && elapsed < max_duration) return;
+  const bool at_limit = elapsed >= max_duration;
+  // Also after the exit has been requested: the process stays until callers
+  // have read their answers, and meanwhile takes requests on open connections.
+  const bool cuts_calls = at_limit && !done && !limit_reached_;
+  if (cuts_calls) {
+    limit_reached_ = true;
+    ctx.Raise(DrainLimitReached{});
+  }
+  if (!done && !at_limit) return;
   if (std::exchange(exit_requested_, true)) return;
-  if (!done) ctx.Raise(DrainLimitReached{});
   ctx.Log(LogTopic::kDrained,
           {{"calls", std::to_string(ctx.Shared().active_calls)}});
   ctx.Emit(Exit{});
--- a/Source/Plugins/Admission/drain.h
+++ b/Source/Plugins/Admission/drain.h
@@ -21,6 +21,8 @@
   Time last_busy_{};
   /// The effect `Exit` has been emitted.
   bool exit_requested_ = false;
+  /// `DrainLimitReached` has been raised.
+  bool limit_reached_ = false;
 };
 
 }  // namespace buckthorncart
--- a/Tests/Net/http_server_test.cc
+++ b/Tests/Net/http_server_test.cc
@@ -6,6 +6,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
 #include "Net/http_server_handler.h"
 #include "Net/loop.h"
 
@@ -24,6 +29,90 @@
   AnswerPart MakeErrorAnswer(ReadState /*fault*/) override { return {}; }
 };
 
+/// Answers each request at once with a body of `kAnswerBytes`.
+class LargeAnswerHandler : public NoOpHandler {
+ public:
+  static constexpr size_t kAnswerBytes = 16'000'000;
+  void SetServer(HttpServer& server) { server_ = &server; }
+  void OnRequest(uint64_t id, HttpRequest /*request*/) override {
+    AnswerPart part;
+    part.status = 200;
+    part.body = std::string(kAnswerBytes, 'x');
+    part.end = AnswerEnd::kComplete;
+    server_->Answer(id, std::move(part), closes_);
+  }
+  void SetCloses(bool closes) { closes_ = closes; }
+
+ private:
+  HttpServer* server_ = nullptr;
+  bool closes_ = false;
+};
+
+/// Connects with a small window and sends a request.
+int SendRequestOnNarrowLink() {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int window = 8'192;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+  sockaddr_in socket_address{};
+  socket_address.sin_family = AF_INET;
+  inet_pton(AF_INET, kIp, &socket_address.sin_addr);
+  socket_address.sin_port = htons(kPort);
+  REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&socket_address),
+                  sizeof(socket_address)) == 0);
+  constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  REQUIRE(write(fd, kRequest.data(), kRequest.size()) > 0);
+  return fd;
+}
+
+/// Reads what has arrived; returns the number of bytes.
+size_t ReadAvailable(int fd) {
+  std::vector<char> buf(1U << 20U);
+  size_t sum = 0;
+  while (true) {
+    const ssize_t n = recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
+    if (n <= 0) return sum;
+    sum += static_cast<size_t>(n);
+  }
+}
+
+// Review case 6: a planned stop ended the process as soon as the last answer
+// had been formatted, and what a slow client had not read yet was lost.
+TEST_CASE("server: not idle until a slow client has got its last answer") {
+  for (const bool closes : {false, true}) {
+    CAPTURE(closes);
+    Loop loop(kFdLimit);
+    LargeAnswerHandler handler;
+    HttpServer server(loop, {}, handler);
+    handler.SetServer(server);
+    handler.SetCloses(closes);
+    const Address address =
+        *Address::Parse(kIp + (":" + std::to_string(kPort)));
+    REQUIRE(server.Listen("callers", address));
+    const int fd = SendRequestOnNarrowLink();
+    size_t received = 0;
+    size_t received_when_idle = 0;
+    bool answered = false;
+    loop.RunIn(300ms, [&] { answered = true; });
+    const std::function<void()> check = [&] {
+      if (answered && server.IsIdle()) {
+        received_when_idle = received;
+        loop.Stop();
+        return;
+      }
+      if (answered) received += ReadAvailable(fd);
+      loop.RunIn(5ms, check);
+    };
+    loop.RunIn(5ms, check);
+    loop.RunIn(20s, [&loop] { loop.Stop(); });
+    loop.Run();
+    // What is left is with the operating system, which sends it.
+    constexpr size_t kMaxSocketBytes = 6'000'000;
+    CHECK(received_when_idle + kMaxSocketBytes >
+          LargeAnswerHandler::kAnswerBytes);
+    close(fd);
+  }
+}
+
 bool AcceptsConnections() {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in socket_address{};
--- a/Tests/Requests/drain_test.cc
+++ b/Tests/Requests/drain_test.cc
@@ -227,6 +227,28 @@
   CHECK(result.called_not_run == 0);
 }
 
+// The process stays after it has requested its exit, while a caller reads its
+// last answer slowly, and calls on open connections still arrive.
+TEST_CASE("drain: calls after the exit was requested get a final answer") {
+  constexpr uint32_t kDrainLimitMs = 5'000;
+  RequestFleet test(PluginsWith<StandardRequestRules>, {1, 1, kSlots},
+                    [](KernelSettings& settings) {
+                      settings.drain_limit_ms = kDrainLimitMs;
+                    });
+  test.fleet.Behaviours()[test.FirstServer()].never_answers = true;
+  test.fleet.Advance(1s);
+  bool exited = false;
+  test.fleet.SetFilter([&](Address, const Effect& effect) {
+    exited = exited || std::holds_alternative<Exit>(effect);
+    return true;
+  });
+  test.fleet.Inject(1, ShutdownRequested{});
+  CHECK(test.fleet.AdvanceUntil([&] { return exited; }, 3s));
+  const uint64_t call = test.Get(1, "/proofs", 60'000);
+  test.fleet.Advance(5s);
+  CHECK(test.fleet.CallerAnswers().contains(call));
+}
+
 TEST_CASE("drain: calls queued at a daemon at its drain limit are refused") {
   constexpr uint32_t kAdmitting = 2;
   const DrainLimitResult result = StopWithUnansweredCalls(kAdmitting);
