Ask a backend server's health check after a restart of all daemons

Cause: nobody can tell then whether a server that announces itself has been told that it may leave, so that each start waited for 4.5 s of announcements.

The server itself knows: its health check answers 200 only while it is not leaving. Any other answer proves nothing, and the announcement waits as before.

Evidence: `restart: a health check confirms a server that stays`, with a control. Ruled out: trusting a store that answers at once (it may have been away at the departure and back before the restart).

--- a/Source/Config/objects.h
+++ b/Source/Config/objects.h
@@ -45,9 +45,23 @@
   uint32_t latency_ms = 500;
   /// Share of requests that must stay below `latency_ms`, in parts per million.
   uint32_t latency_ppm = 990'000;
+  /// Path at which a backend server answers 200 while it is healthy and not
+  /// leaving; empty if there is none.
+  std::string health_path = {};
 
+  template <typename Self>
+  static auto Fields(Self& self) {
+    return std::tie(self.name, self.availability_ppm, self.latency_ms,
+                    self.latency_ppm, self.health_path);
+  }
   bool operator==(const Service&) const = default;
-  MSGPACK_DEFINE(name, availability_ppm, latency_ms, latency_ppm)
+  template <typename Packer>
+  void msgpack_pack(Packer& packer) const {  // NOLINT
+    PackWithTail<1>(packer, Fields(*this), !health_path.empty());
+  }
+  void msgpack_unpack(const msgpack::object& object) {  // NOLINT
+    UnpackWithTail(object, Fields(*this));
+  }
 };
 
 /// A service that receives a share of a route's requests.
--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -262,6 +262,13 @@
   MSGPACK_DEFINE(era)
 };
 
+/// The local backend server announces itself, and it is not known whether an
+/// earlier process of this daemon has acknowledged its leaving.
+struct BackendUnconfirmed {
+  BackendAnnouncement backend;
+  MSGPACK_DEFINE(backend)
+};
+
 using Event = std::variant<
     Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
     DatagramReceived, PlatformReplied, CallerRequested, CallerDisconnected,
@@ -271,7 +278,7 @@
     ClaimGranted, ClaimDenied, ClaimUnused, ClaimWritten, CallEnded,
     ConfigurationRelayChanged, EarlierBackendKnown, OwnRecordReceived,
     LeaveRecorded, DrainLimitReached, CallerBodiesChanged, LocalCapacityChanged,
-    PlatformRestored>;
+    PlatformRestored, BackendUnconfirmed>;
 
 }  // namespace buckthorncart
 
--- a/Source/Plugins/Admission/admission_announcements_inl.h
+++ b/Source/Plugins/Admission/admission_announcements_inl.h
@@ -53,6 +53,7 @@
   }
   if (announcement_filter_.IsAwaitingRecord()) {
     held_announcement_ = std::move(*announcement);
+    ctx.Raise(BackendUnconfirmed{held_announcement_->backend});
   }
   ctx.AnswerJson(request.request, kAnnouncementTaken,
                  "{\"result\":\"outdated\"}\n");
--- a/Source/Plugins/Admission/announcement_filter.cc
+++ b/Source/Plugins/Admission/announcement_filter.cc
@@ -123,7 +123,8 @@
   if (started_ms != 0) started_ms_ = started_ms;
   sequence_ = announcement.sequence;
   accepted_any_ = true;
-  if (!IsLeaving(backend.state)) awaiting_record_ = false;
+  const bool is_proof = !IsLeaving(backend.state) && !backend.id.empty();
+  if (is_proof) awaiting_record_ = false;
   candidate_ = {};
 }
 
--- a/Tests/Requests/restart_test.cc
+++ b/Tests/Requests/restart_test.cc
@@ -8,6 +8,7 @@
 
 #include "Plugins/Admission/leave_record.h"
 #include "Support/fake_fleet.h"
+#include "Support/followed_fleet.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
@@ -218,6 +219,45 @@
   CHECK(test.Announce(Announcement("i-1", "ready", kBorn, 30)) == "announced");
 }
 
+/// All daemons of a fleet whose backend servers have health checks are killed
+/// at once, while the backend servers run. Returns true if that of the first
+/// daemon is in use within half a second of its next announcement.
+bool IsConfirmedByHealth(const std::string& answered_id) {
+  FollowedFleet test(3);
+  test.fleet.StartAll();
+  Snapshot snapshot = FollowedFleet::MakeSnapshot(7);
+  snapshot.configuration.services["catalogus"].health_path = "/health";
+  test.fleet.Put(std::string(kFollowedRow), Encode(snapshot));
+  test.fleet.Advance(2s);
+  test.fleet.Ask(kHome, "POST", "/v1/backend-server",
+                 Announcement("i-1", "ready", kBorn, 1));
+  test.fleet.Advance(2s);
+  for (const uint32_t n : {1U, 2U, 3U}) test.fleet.Kill(n);
+  test.fleet.Advance(500ms);
+  for (const uint32_t n : {1U, 2U, 3U}) test.fleet.Restart(n);
+  test.fleet.Behaviours()[kHome].healthy_id = answered_id;
+  test.fleet.Advance(100ms);
+  test.fleet.Ask(kHome, "POST", "/v1/backend-server",
+                 Announcement("i-1", "ready", kBorn, 2));
+  // The fleet also sends announcements without an id, which follow later.
+  return test.fleet.AdvanceUntil(
+      [&] {
+        const Member& self = test.fleet.At(kHome).GetContext().Shared().self;
+        return self.backend.state == BackendState::kReady &&
+               self.backend.id == "i-1";
+      },
+      400ms);
+}
+
+TEST_CASE("restart: a health check confirms a server that stays") {
+  CHECK(IsConfirmedByHealth("i-1"));
+}
+
+TEST_CASE("restart control: other answers to a health check prove nothing") {
+  CHECK_FALSE(IsConfirmedByHealth(""));
+  CHECK_FALSE(IsConfirmedByHealth("i-2"));
+}
+
 TEST_CASE("restart: a server that starts with its VM is in use at once") {
   RestartFleet test;
   test.KillAll(2s);
--- a/Tests/Support/fake_fleet.h
+++ b/Tests/Support/fake_fleet.h
@@ -50,6 +50,8 @@
   /// A request whose path contains this text crashes the backend server.
   std::string fatal_path;
   bool dead = false;
+  /// Id that health checks answer with; 503 while it is empty.
+  std::string healthy_id = {};
   /// Of so many requests one gets status 500, and one takes `slow_time`; 0 for
   /// none.
   uint32_t failure_every = 0;
--- a/Tests/Support/fake_fleet_servers.cc
+++ b/Tests/Support/fake_fleet_servers.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kPlatformDelay = 2ms;
+/// Path at which the backend servers answer health checks.
+constexpr std::string_view kHealthPath = "/health";
 
 }  // namespace
 
@@ -140,6 +142,14 @@
 void FakeFleet::HandleBackendCall(FakeDaemon& from, const CallBackend& call) {
   const uint32_t n = NumberOf(from.Self());
   const BackendBehaviour behaviour = BehaviourFor(n, call.request);
+  if (call.request.path == kHealthPath) {
+    AnswerPart part;
+    part.status = behaviour.healthy_id.empty() ? 503 : 200;
+    part.headers = {{std::string(header::kBackendId), behaviour.healthy_id}};
+    part.end = AnswerEnd::kComplete;
+    Schedule(1ms, n, BackendAnswered{call.run, part, BackendFault::kNone});
+    return;
+  }
   if (Sheds(n, call.run)) {
     AnswerPart part;
     part.status = 503;
