Compute the delay after a restore in one place

The member row and the record of a departure had the same spread of writes twice. A decider's token takes the era from the reply of the store, not one that a peer has reported and that may be wrong.

--- a/Source/Plugins/Admission/leave_record.h
+++ b/Source/Plugins/Admission/leave_record.h
@@ -62,10 +62,11 @@
 ///
 /// If all of them end before the platform answers again, nobody knows of the
 /// acknowledgement. A platform without a record is therefore no proof, and the
-/// new process waits for a daemon that has run all the time, or for the backend
-/// server to announce itself for longer than an announcement can be late. Only
-/// a missing row proves that no process has run at this address before: the
-/// first one writes a row without an end of a start.
+/// new process waits for a daemon that has run all the time, for the health
+/// check of the backend server, or until that has announced itself for longer
+/// than an announcement can be late. Only a missing row proves that no process
+/// has run at this address before: the first one writes a row without an end of
+/// a start.
 ///
 /// Load on the platform: one read at the start of a daemon, one write for the
 /// first process at an address, for each backend server that leaves and for
--- a/Source/Plugins/Admission/leave_record_inl.h
+++ b/Source/Plugins/Admission/leave_record_inl.h
@@ -10,6 +10,7 @@
 #include "Kernel/context.h"
 #include "Kernel/platform_queue.h"
 #include "Plugins/Admission/leave_record.h"
+#include "Plugins/PlatformCalls/restore_delay.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
@@ -21,9 +22,6 @@
 inline constexpr size_t kLeaveHolders = 2;
 /// Time after the end of a start in which its announcements may still arrive.
 inline constexpr Duration kRecentLeaveTime = 10s;
-/// Mean time between the writes of two daemons after a restore of the
-/// platform's store.
-inline constexpr Duration kLeaveRestoreInterval = 5ms;
 
 template <LeaveRecordRules Rules>
 void LeaveRecord<Rules>::Attach(Context& ctx) {
@@ -163,13 +161,9 @@
       HasLeave() && ctx.Now() - leaving_since_ < kRecentLeaveTime;
   if (is_recent) {
     Write(ctx);
-    return;
+  } else {
+    next_write_ = ctx.Now() + RestoreDelay(ctx);
   }
-  const auto daemons = static_cast<int64_t>(ctx.Shared().members.size()) + 1;
-  const Duration spread = kLeaveRestoreInterval * daemons;
-  next_write_ =
-      ctx.Now() +
-      Duration(ctx.RandomBelow(static_cast<uint32_t>(spread.count())));
 }
 
 template <LeaveRecordRules Rules>
--- a/Source/Plugins/Membership/membership_inl.h
+++ b/Source/Plugins/Membership/membership_inl.h
@@ -10,6 +10,7 @@
 #include "Kernel/platform_queue.h"
 #include "Plugins/Admission/leave_record.h"
 #include "Plugins/Membership/membership.h"
+#include "Plugins/PlatformCalls/restore_delay.h"
 #include "Wire/codec.h"
 
 namespace buckthorncart {
@@ -19,9 +20,6 @@
 /// leaving.
 inline constexpr size_t kIndirectProbes = 3;
 inline constexpr Duration kRejoinInterval = 1s;
-/// Mean time between the writes of two daemons after a restore of the
-/// platform's store.
-inline constexpr Duration kRestoreInterval = 5ms;
 /// Interval of the attempts to reach a member that is marked as gone.
 inline constexpr Duration kReconnectInterval = 5s;
 /// Time between two events after which this daemon counts its own event loop as
@@ -80,16 +78,12 @@
 }
 
 /// The restored store may lack the row of this daemon, by which those that
-/// start find the fleet. All daemons store theirs again, spread over a time
-/// that keeps the rate of writes independent of the size of the fleet.
+/// start find the fleet.
 template <MembershipRules Rules>
 void Membership<Rules>::HandleRestore(Context& ctx) {
   announced_ = false;
   announcement_tag_ = 0;
-  const auto daemons = static_cast<int64_t>(ctx.Shared().members.size()) + 1;
-  const Duration spread = kRestoreInterval * daemons;
-  const Duration delay(ctx.RandomBelow(static_cast<uint32_t>(spread.count())));
-  announce_again_at_ = ctx.Now() + delay;
+  announce_again_at_ = ctx.Now() + RestoreDelay(ctx);
 }
 
 template <MembershipRules Rules>
--- a/Source/Plugins/Rollouts/rollout_decider.cc
+++ b/Source/Plugins/Rollouts/rollout_decider.cc
@@ -146,8 +146,8 @@
   const std::string key(kRolloutLeadRow);
   const auto it = reply.rows.find(key);
   lead_row_.reset();
-  uint64_t token =
-      std::max(lead_.token, FirstTokenOf(ctx.Shared().platform_era));
+  // Not of an era that a peer has reported, which may be wrong.
+  uint64_t token = std::max(lead_.token, FirstTokenOf(reply.era));
   if (it != reply.rows.end()) {
     lead_row_ = it->second;
     const auto row = Decode<RolloutLead>(it->second);
