--- a/Tests/Net/http_server_test.cc
+++ b/Tests/Net/http_server_test.cc
@@ -19,7 +19,13 @@
 
 constexpr int kFdLimit = 64;
 constexpr const char* kIp = "127.61.7.9";
-constexpr uint16_t kPort = 18'371;
+/// Tests run at the same time, so that each has a port of its own.
+constexpr uint16_t kBoundPort = 18'371;
+constexpr uint16_t kSlowClientPort = 18'372;
+
+Address ServerAddress(uint16_t port) {
+  return *Address::Parse(kIp + (":" + std::to_string(port)));
+}
 
 class NoOpHandler : public HttpServerHandler {
  public:
@@ -56,7 +62,7 @@
   sockaddr_in socket_address{};
   socket_address.sin_family = AF_INET;
   inet_pton(AF_INET, kIp, &socket_address.sin_addr);
-  socket_address.sin_port = htons(kPort);
+  socket_address.sin_port = htons(kSlowClientPort);
   REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&socket_address),
                   sizeof(socket_address)) == 0);
   constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -85,9 +91,7 @@
     HttpServer server(loop, {}, handler);
     handler.SetServer(server);
     handler.SetCloses(closes);
-    const Address address =
-        *Address::Parse(kIp + (":" + std::to_string(kPort)));
-    REQUIRE(server.Listen("callers", address));
+    REQUIRE(server.Listen("callers", ServerAddress(kSlowClientPort)));
     const int fd = SendRequestOnNarrowLink();
     size_t received = 0;
     size_t received_when_idle = 0;
@@ -118,7 +122,7 @@
   sockaddr_in socket_address{};
   socket_address.sin_family = AF_INET;
   inet_pton(AF_INET, kIp, &socket_address.sin_addr);
-  socket_address.sin_port = htons(kPort);
+  socket_address.sin_port = htons(kBoundPort);
   const bool connected =
       connect(fd, reinterpret_cast<sockaddr*>(&socket_address),
               sizeof(socket_address)) == 0;
@@ -130,7 +134,7 @@
   Loop loop(kFdLimit);
   NoOpHandler handler;
   HttpServer server(loop, {}, handler);
-  const Address address = *Address::Parse(kIp + (":" + std::to_string(kPort)));
+  const Address address = ServerAddress(kBoundPort);
   REQUIRE(server.Bind("callers", address));
   CHECK(!AcceptsConnections());
   REQUIRE(server.StartListening());
