Reserve announced bodies of usual size again

Cause: since no announced length was reserved, so that the largest body grew in steps and was held in part twice.

Lengths up to 64 MiB, the largest body of a request, are reserved again; larger ones, which ended the process, are not.

--- a/Source/Wire/message_parser.h
+++ b/Source/Wire/message_parser.h
@@ -184,8 +184,8 @@
 
   /// Enlarges a body in few large steps, before its next bytes are parsed.
   /// Doubling would hold up to three times its size while it is copied. The
-  /// unused part of a large block is never touched and takes no memory. What a
-  /// peer announces is no reason to reserve it: the length may be any number.
+  /// unused part of a large block is never touched and takes no memory. An
+  /// announced body of usual size has been reserved by `ReceivedBody`.
   void GrowBody() {
     if (!Get().is_header_done()) return;
     std::string& body = parser_->get().body();
--- a/Source/Wire/received_body.h
+++ b/Source/Wire/received_body.h
@@ -13,10 +13,13 @@
 namespace buckthorncart {
 
 /// Collects a body in a string, as `string_body` of the library does, but
-/// without reserving the length that the sender announces. That length may be
-/// any number, and the memory for it would be requested before a byte has
-/// arrived.
+/// reserves an announced length only up to a limit. That length may be any
+/// number, and the memory for it is requested before a byte has arrived.
 struct ReceivedBody {
+  /// The largest body of a request. It is reserved at once, since growing in
+  /// steps holds a part of it twice.
+  static constexpr uint64_t kMaxReservedBytes = 64U << 20U;
+
   using value_type = std::string;  // NOLINT(readability-identifier-naming)
 
   static uint64_t size(const value_type& body) { return body.size(); }
@@ -30,8 +33,9 @@
         : body_(body) {}
 
     void init(  // NOLINT(readability-identifier-naming)
-        const boost::optional<uint64_t>& /*length*/,
-        boost::beast::error_code& ec) {
+        const boost::optional<uint64_t>& length, boost::beast::error_code& ec) {
+      if (length && *length <= kMaxReservedBytes)
+        body_.reserve(static_cast<size_t>(*length));
       ec = {};
     }
 
