Bound the age of the configuration by a lease at each daemon

Cause: a daemon behind relays did not know how old its knowledge was. Silence and "nothing new" looked the same to it, so that relays that had lost the store, were frozen or cut off, and lost pushes, hints and pulls, delayed a change until some timer noticed.

Fix: each daemon holds a lease on the freshness of its configuration, which it ends by its own clock. The store's answer to a check, which transfers nothing if there is no change, renews it; a tree spreads the result, as an age, to all daemons. Whoever has not heard for 800 to 1,200 ms, by its rank in the data centre, checks itself. A daemon that hears of a version it lacks pulls it from the sender before it turns to the store. The follower gives up a watch when a check fails. configuration_age_seconds is now true for daemons behind relays.

Ruled out: shorter watches by all relays, and ages in the gossip of probes; see docs/design/freshness.md.

--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -53,6 +53,7 @@
   kLeaveAnswer,
   kRolloutReport,
   kRolloutDecision,
+  kFreshness,
 };
 
 /// The process has started; `wall_ms` is milliseconds since the epoch.
@@ -269,6 +270,29 @@
   MSGPACK_DEFINE(backend)
 };
 
+/// The row with the configuration has been read aside from the follower's own
+/// requests; the read was sent at `sent_us` on the monotonic clock.
+struct ConfigurationRowRead {
+  PlatformReply reply;
+  uint64_t sent_us = 0;
+  MSGPACK_DEFINE(reply, sent_us)
+};
+
+/// At `as_of_us` on the monotonic clock, when its store had `platform_version`,
+/// the platform had no configuration newer than the held one.
+struct ConfigurationConfirmed {
+  uint64_t as_of_us = 0;
+  uint64_t platform_version = 0;
+  /// True if the confirmation answers a `ConfigurationRowRead`.
+  bool was_read = false;
+  MSGPACK_DEFINE(as_of_us, platform_version, was_read)
+};
+
+/// The platform did not say whether the held configuration is current.
+struct ConfigurationUnconfirmed {
+  MSGPACK_DEFINE()
+};
+
 using Event = std::variant<
     Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
     DatagramReceived, PlatformReplied, CallerRequested, CallerDisconnected,
@@ -278,7 +302,8 @@
     ClaimGranted, ClaimDenied, ClaimUnused, ClaimWritten, CallEnded,
     ConfigurationRelayChanged, EarlierBackendKnown, OwnRecordReceived,
     LeaveRecorded, DrainLimitReached, CallerBodiesChanged, LocalCapacityChanged,
-    PlatformRestored, BackendUnconfirmed>;
+    PlatformRestored, BackendUnconfirmed, ConfigurationRowRead,
+    ConfigurationConfirmed, ConfigurationUnconfirmed>;
 
 }  // namespace buckthorncart
 
--- a/Source/Kernel/metric_help.cc
+++ b/Source/Kernel/metric_help.cc
@@ -164,6 +164,18 @@
      "Requests refused because their API key is missing or unknown, requests."},
     {"workspaces", "Workspaces of the held configuration, workspaces."},
     {"workspace_keys", "Valid API keys of all workspaces, keys."},
+    {"freshness_checks_total",
+     "Checks with the platform whether the held configuration is current, "
+     "calls."},
+    {"freshness_failed_checks_total",
+     "Checks that the platform did not answer, calls."},
+    {"freshness_reports_sent_total",
+     "Reports to other daemons that a configuration is current, messages."},
+    {"freshness_reports_received_total",
+     "Reports from other daemons that a configuration is current, messages."},
+    {"freshness_queries_total",
+     "Queries to other daemons whether the configuration is current, "
+     "messages."},
     {"followed_versions_without_workspaces_total",
      "Versions refused because their sender does not read workspaces, "
      "versions."},
--- a/Source/Plugins/Configuration/configuration_follower.cc
+++ b/Source/Plugins/Configuration/configuration_follower.cc
@@ -38,9 +38,6 @@
 constexpr size_t kLargeRouteCount = 600;
 /// Interval at which a daemon checks that its relays are still available.
 constexpr Duration kRelayCheckInterval = 500ms;
-/// Wait time of a watch by the first relay, which notices that the platform
-/// has become silent and thereby lets the other relays notice.
-constexpr uint32_t kCheckingWatchWaitMs = 1'000;
 /// Time for a newly started daemon to discover other daemons before it decides
 /// whether to watch the platform. One that cannot be a relay waits until those
 /// that can have decided.
@@ -59,11 +56,6 @@
   ctx.AllMetrics().AddGauge("configuration_version", [this] {
     return static_cast<double>(store_.Held()->version);
   });
-  ctx.AllMetrics().AddGauge("configuration_age_seconds", [this, &ctx] {
-    constexpr double kMicroseconds = 1e6;
-    return static_cast<double>((ctx.Now() - last_reply_at_).count()) /
-           kMicroseconds;
-  });
 }
 
 void ConfigurationFollower::Handle(Context& ctx, const Event& event) {
@@ -89,9 +81,23 @@
     HandleMemberChanged(ctx, changed->address);
   } else if (std::holds_alternative<PlatformRestored>(event)) {
     HandleRestore(ctx);
+  } else if (const auto* read = std::get_if<ConfigurationRowRead>(&event)) {
+    if (ApplyRow(ctx, read->reply)) {
+      ctx.Raise(
+          ConfigurationConfirmed{read->sent_us, read->reply.version, true});
+    }
+  } else if (std::holds_alternative<ConfigurationUnconfirmed>(event)) {
+    AbandonWatch(ctx);
   }
 }
 
+/// The watch of a relay may have been lost like the check that failed.
+void ConfigurationFollower::AbandonWatch(Context& ctx) {
+  if (!is_relay_ || !watching_ || !tag_) return;
+  AbandonRequest(ctx);
+  RetryLater(ctx);
+}
+
 /// A watch from a version of the earlier era would miss changes, since the
 /// restored store gives those versions to other rows.
 void ConfigurationFollower::HandleRestore(Context& ctx) {
@@ -149,9 +155,7 @@
 uint32_t ConfigurationFollower::WatchWaitMs(Context& ctx) const {
   // A platform that does not answer is not given a long time.
   if (failures_ > 0) return 0;
-  const uint32_t wait_ms = ctx.Settings().watch_wait_ms;
-  const bool checks = ConfigurationRelays(ctx.Shared()).IsFirstRelay();
-  return checks ? std::min(wait_ms, kCheckingWatchWaitMs) : wait_ms;
+  return ctx.Settings().watch_wait_ms;
 }
 
 void ConfigurationFollower::HandleReply(Context& ctx,
@@ -160,9 +164,12 @@
   tag_.reset();
   switch (replied.reply.status) {
     case PlatformStatus::kOk:
-      last_reply_at_ = ctx.Now();
       RecordSuccess(ctx);
-      ApplyRow(ctx, replied.reply);
+      if (ApplyRow(ctx, replied.reply)) {
+        ctx.Raise(
+            ConfigurationConfirmed{static_cast<uint64_t>(sent_at_.count()),
+                                   replied.reply.version, false});
+      }
       ctx.SetTimerIn(DelayBeforeNextRequest(ctx, !replied.reply.rows.empty()),
                      TimerKind::kConfigurationRetry, attempt_);
       platform_version_ = std::max(platform_version_, replied.reply.version);
@@ -262,9 +269,9 @@
   RequestOrUseRelays(ctx);
 }
 
-void ConfigurationFollower::ApplyRow(Context& ctx, const PlatformReply& reply) {
+bool ConfigurationFollower::ApplyRow(Context& ctx, const PlatformReply& reply) {
   const auto it = reply.rows.find(std::string(kFollowedRow));
-  if (it == reply.rows.end()) return;
+  if (it == reply.rows.end()) return true;
   auto snapshot = Decode<Snapshot>(it->second);
   if (!snapshot) {
     counters_.Add(FollowerCounter::kVersionsHeldBack);
@@ -272,13 +279,15 @@
             {{"held", std::to_string(store_.Held()->version)},
              {"reason", std::string(NameOf(snapshot.error().code))}},
             LogLevel::kWarning);
-    return;
+    return false;
   }
   const uint64_t before = store_.Held()->version;
   Apply(ctx, *snapshot, "platform");
-  if (store_.Held()->version == before) return;
-  PushToFollowers(ctx);
-  HintPeers(ctx);
+  if (store_.Held()->version != before) {
+    PushToFollowers(ctx);
+    HintPeers(ctx);
+  }
+  return store_.Held()->version >= snapshot->version;
 }
 
 void ConfigurationFollower::Apply(Context& ctx, const Snapshot& snapshot,
--- a/Source/Plugins/Configuration/configuration_follower.h
+++ b/Source/Plugins/Configuration/configuration_follower.h
@@ -75,7 +75,9 @@
   void Watch(Context& ctx);
   uint32_t WatchWaitMs(Context& ctx) const;
   void HandleReply(Context& ctx, const PlatformReplied& replied);
-  void ApplyRow(Context& ctx, const PlatformReply& reply);
+  /// Returns true if the held version is as new as the row, or the reply has
+  /// none.
+  bool ApplyRow(Context& ctx, const PlatformReply& reply);
   /// Reads or watches the row, or only checks again later while relays are
   /// available.
   void RequestOrUseRelays(Context& ctx);
@@ -88,6 +90,8 @@
   void HandlePeerMessage(Context& ctx, const PeerMessageReceived& received);
   void HandleMemberChanged(Context& ctx, Address address);
   void HandleRestore(Context& ctx);
+  /// Gives up the watch of a relay and tries again.
+  void AbandonWatch(Context& ctx);
   /// Records that `peer` holds `version` and schedules a pull if it is newer.
   void RecordPeerVersion(Context& ctx, Address peer, uint64_t version);
   void PullIfBehind(Context& ctx);
@@ -104,8 +108,6 @@
   /// Version of the platform's store in its last reply; 0 before the first one
   /// of the present era.
   uint64_t platform_version_ = 0;
-  /// Time of the platform's last successful reply.
-  Time last_reply_at_{};
   uint32_t failures_ = 0;
   /// Identifies the current request, so that timers of earlier ones are
   /// ignored.
--- a/Source/Plugins/Configuration/configuration_relays.h
+++ b/Source/Plugins/Configuration/configuration_relays.h
@@ -47,6 +47,29 @@
                         });
   }
 
+  /// Position of this daemon among those of its data centre, the widest link
+  /// first, as a fraction of their number: 0 for the first, below 1 for the
+  /// last.
+  double RankInDataCentre() const {
+    size_t daemons = 1;
+    size_t ahead = 0;
+    for (const auto& [address, member] : shared_.members) {
+      if (member.status != MemberStatus::kAlive || !IsLocal(member)) continue;
+      ++daemons;
+      if (RanksBefore(member, shared_.self)) ++ahead;
+    }
+    return static_cast<double>(ahead) / static_cast<double>(daemons);
+  }
+
+  /// Returns all relays but this daemon.
+  std::vector<Address> All() const {
+    std::vector<Address> relays;
+    for (const auto& [address, member] : shared_.members) {
+      if (IsRelay(member)) relays.push_back(address);
+    }
+    return relays;
+  }
+
   /// Returns a relay of this data centre; unset if there is none.
   Address LocalRelay() const {
     for (const auto& [address, member] : shared_.members) {
--- a/Source/Plugins/Configuration/spreading_policy.cc
+++ b/Source/Plugins/Configuration/spreading_policy.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "Base/digest.h"
+#include "Plugins/Configuration/spreading_tree.h"
 
 namespace buckthorncart {
 namespace {
@@ -21,13 +22,6 @@
   return RendezvousWeight(kTreeKey, AddressHash{}(address));
 }
 
-/// A member of a data centre in tree order.
-struct TreeNode {
-  uint64_t weight = 0;
-  Address address;
-  bool alive = true;
-};
-
 /// Returns the members of `data_centre` that are not gone, including this
 /// daemon if it is in that data centre. The root of the tree comes first.
 std::vector<TreeNode> TreeOrder(Context& ctx, const std::string& data_centre) {
@@ -45,17 +39,6 @@
   return order;
 }
 
-/// Appends the children of node `i`. A child that may be dead is followed by
-/// its own children, so that they don't depend on it.
-void AppendChildren(const std::vector<TreeNode>& order, size_t i, size_t fanout,
-                    std::vector<Address>& children) {
-  for (size_t child = i * fanout + 1;
-       child <= (i + 1) * fanout && child < order.size(); ++child) {
-    children.push_back(order[child].address);
-    if (!order[child].alive) AppendChildren(order, child, fanout, children);
-  }
-}
-
 std::vector<SpreadTarget> ChooseTargets(Context& ctx, Address from,
                                         bool push_to_local,
                                         bool push_to_remote) {
--- a/Source/Wire/datagrams.h
+++ b/Source/Wire/datagrams.h
@@ -74,7 +74,37 @@
   MSGPACK_DEFINE(gossip)
 };
 
-using Datagram = std::variant<Probe, ProbeAck, IndirectProbe, VersionHint,
-                              MemberDigests, MemberRecords>;
+/// Confirms that the platform's store had no configuration newer than
+/// `version`, which the sender holds, at some time before this message was
+/// sent.
+struct FreshnessReport {
+  uint64_t version = 0;
+  /// Time between that moment and the sending of this message, microseconds.
+  uint64_t age_us = 0;
+  /// Version and era of the store at that moment.
+  uint64_t platform_version = 0;
+  uint64_t platform_era = 0;
+  /// Root of the tree along which the report spreads in the data centre of the
+  /// receiver.
+  Address root;
+  /// Sender's monotonic clock when the message was sent, microseconds.
+  uint64_t sent_us = 0;
+  /// Number of the query that this answers; 0 if there was none.
+  uint64_t query = 0;
+  MSGPACK_DEFINE(version, age_us, platform_version, platform_era, root, sent_us,
+                 query)
+};
+
+/// Requests a `FreshnessReport` with the same number. The sender holds
+/// `version`.
+struct FreshnessQuery {
+  uint64_t version = 0;
+  uint64_t number = 0;
+  MSGPACK_DEFINE(version, number)
+};
+
+using Datagram =
+    std::variant<Probe, ProbeAck, IndirectProbe, VersionHint, MemberDigests,
+                 MemberRecords, FreshnessReport, FreshnessQuery>;
 
 }  // namespace buckthorncart
--- a/Tests/Requests/late_calls_test.cc
+++ b/Tests/Requests/late_calls_test.cc
@@ -4,7 +4,7 @@
 
 #include <optional>
 
-#include "Plugins/Admission/transit_clock.h"
+#include "Kernel/transit_clock.h"
 #include "Support/followed_fleet.h"
 
 namespace buckthorncart {
--- a/Tests/Workspaces/fleet_test.cc
+++ b/Tests/Workspaces/fleet_test.cc
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <set>
+#include <vector>
+
 #include "Plugins/Configuration/configuration_follower.h"
 #include "Plugins/Requests/api_key_check.h"
 #include "Support/fake_fleet.h"
@@ -129,6 +132,32 @@
   CHECK(test.last_call.workspace == "shop");
 }
 
+// Daemons behind relays that were cut off went on taking a withdrawn key.
+TEST_CASE("workspaces: a withdrawn key is refused though all relays are cut") {
+  ReadyWorkspaceFleet test;
+  std::set<Address> relays;
+  std::vector<uint32_t> others;
+  for (uint32_t n = 1; n <= kSize; ++n) {
+    FakeDaemon& daemon = test.fleet.At(n);
+    if (daemon.GetContext().Shared().self.relays) {
+      relays.insert(daemon.Self());
+    } else {
+      others.push_back(n);
+    }
+  }
+  CHECK(others.size() == 3);
+  test.fleet.SetFilter([relays](Address from, const Effect& effect) {
+    const auto* message = std::get_if<SendPeer>(&effect);
+    const auto* datagram = std::get_if<SendDatagram>(&effect);
+    if (message == nullptr && datagram == nullptr) return true;
+    const Address to = message != nullptr ? message->to : datagram->to;
+    return !relays.contains(from) && !relays.contains(to);
+  });
+  test.Write(5, {"k2"});
+  test.fleet.Advance(2s);
+  for (const uint32_t n : others) CHECK(test.Get(n, "/keyed", "k1") == 401);
+}
+
 TEST_CASE("workspaces: a daemon without a configuration refuses with 503") {
   WorkspaceFleet test;
   test.fleet.StartAll();
