Pause between checks that confirm nothing

Callers would have seen a store at its limit of calls: with a row that cannot be applied, each daemon read it again as soon as it had the answer.

Cause: only an unanswered check delayed the next one. An answered one that left the lease as it was, or an answer of another era, did not. A history that was lost again by a whole read was asked for again at once as well.

Fix: every check counts as failed until it has confirmed the held version. Clocks of other daemons are kept for members only, so that their number is bounded.

--- a/Source/Plugins/Configuration/configuration_freshness.cc
+++ b/Source/Plugins/Configuration/configuration_freshness.cc
@@ -82,6 +82,9 @@
     HandleConfirmed(ctx, *confirmed);
   } else if (const auto* adopted = std::get_if<ConfigurationAdopted>(&event)) {
     HandleAdopted(ctx, adopted->version);
+  } else if (const auto* changed = std::get_if<MemberChanged>(&event)) {
+    ForgetGone(ctx, changed->address);
+    return;
   } else if (const auto* timer = std::get_if<TimerFired>(&event)) {
     if (timer->kind != TimerKind::kFreshness || timer->argument != timer_)
       return;
@@ -124,27 +127,32 @@
   if (it == checks_.end()) return;
   const Check check = it->second;
   checks_.erase(it);
-  if (reply.status == PlatformStatus::kHistoryLost) {
+  const bool history_lost = reply.status == PlatformStatus::kHistoryLost;
+  if (history_lost && platform_version_ > 0) {
     platform_version_ = 0;
     StartCheck(ctx);
     return;
   }
-  if (reply.status != PlatformStatus::kOk) {
+  // A version of another era means other rows.
+  const bool is_same_era = check.era == 0 || check.era == reply.era;
+  if (reply.status != PlatformStatus::kOk || !is_same_era) {
     CountFailure(ctx);
     return;
   }
-  failures_ = 0;
-  // A version of another era means other rows.
-  if (check.era != 0 && check.era != reply.era) return;
+  // A row that cannot be applied must not be read without a pause.
+  retry_at_ = ctx.Now() + NextRetryDelay();
   const auto sent_us = static_cast<uint64_t>(check.sent_at.count());
   ctx.Raise(ConfigurationRowRead{reply, sent_us});
 }
 
+Duration ConfigurationFreshness::NextRetryDelay() {
+  const uint32_t doublings = std::min(failures_++, kMaxRetryDoublings);
+  return std::min(kMinRetryDelay * (1U << doublings), kMaxRetryDelay);
+}
+
 void ConfigurationFreshness::CountFailure(Context& ctx) {
   counters_.Add(FreshnessCounter::kFailedChecks);
-  const uint32_t doublings = std::min(failures_++, kMaxRetryDoublings);
-  const Duration delay =
-      std::min(kMinRetryDelay * (1U << doublings), kMaxRetryDelay);
+  const Duration delay = NextRetryDelay();
   // Daemons that failed at the same time don't come back at the same time.
   const auto jitter = ctx.RandomBelow(static_cast<uint32_t>(delay.count()) / 4);
   retry_at_ = ctx.Now() + delay - Duration(jitter);
@@ -166,6 +174,7 @@
 void ConfigurationFreshness::HandleConfirmed(
     Context& ctx, const ConfigurationConfirmed& confirmed) {
   const Time as_of(static_cast<int64_t>(confirmed.as_of_us));
+  if (confirmed.was_read) failures_ = 0;
   const bool renewed = Renew(ctx, as_of, confirmed.platform_version);
   if (renewed && confirmed.was_read) Broadcast(ctx);
 }
@@ -225,6 +234,8 @@
 void ConfigurationFreshness::HandleReport(Context& ctx, Address from,
                                           const FreshnessReport& report) {
   counters_.Add(FreshnessCounter::kReportsReceived);
+  // Bounds the clocks; the lease of a daemon that knows nobody yet just ends.
+  if (!ctx.Shared().members.contains(from)) return;
   const Duration age(
       std::min(report.age_us, static_cast<uint64_t>(kMaxReportAge.count())));
   const Time sent(static_cast<int64_t>(std::min(report.sent_us, kMaxClockUs)));
@@ -243,6 +254,13 @@
   }
 }
 
+void ConfigurationFreshness::ForgetGone(Context& ctx, Address address) {
+  const auto it = ctx.Shared().members.find(address);
+  const bool is_gone = it == ctx.Shared().members.end() ||
+                       it->second.status == MemberStatus::kGone;
+  if (is_gone) clocks_.erase(address);
+}
+
 void ConfigurationFreshness::PassOnOnce(Context& ctx, FreshnessReport report,
                                         Time as_of) {
   if (as_of <= passed_on_) return;
--- a/Source/Plugins/Configuration/configuration_freshness.h
+++ b/Source/Plugins/Configuration/configuration_freshness.h
@@ -76,6 +76,7 @@
   void HandleReport(Context& ctx, Address from, const FreshnessReport& report);
   void HandleQuery(Context& ctx, Address from, const FreshnessQuery& query);
   void HandleAdopted(Context& ctx, uint64_t version);
+  void ForgetGone(Context& ctx, Address address);
   /// Ends the lease. The next check follows as if it had been renewed at
   /// `since`.
   void EndLease(Time since);
@@ -83,6 +84,8 @@
   bool Renew(Context& ctx, Time as_of, uint64_t platform_version);
   void StartCheck(Context& ctx);
   void QueryPeer(Context& ctx);
+  /// Returns the delay of the next check after one that confirms nothing.
+  Duration NextRetryDelay();
   void CountFailure(Context& ctx);
   /// Logs that the held configuration has not been confirmed for long, or is
   /// again.
@@ -124,7 +127,7 @@
   /// Time of the last check, and the earliest time of the next one.
   Time checked_at_{};
   Time retry_at_{};
-  /// Consecutive checks that failed.
+  /// Consecutive checks that did not confirm the held configuration.
   uint32_t failures_ = 0;
   /// True if the last log line says that the configuration is unconfirmed.
   bool reported_outdated_ = false;
--- a/Tests/Configuration/freshness_test.cc
+++ b/Tests/Configuration/freshness_test.cc
@@ -263,6 +263,22 @@
   CHECK(AgeOf(test, 11) < 2.0);
 }
 
+// A row that cannot be applied confirms nothing, and was read again at once.
+TEST_CASE("freshness: a row that cannot be applied is read with pauses") {
+  FollowedFleet test(6, 4, 6);
+  test.fleet.StartAll();
+  test.Write(2);
+  test.fleet.Advance(15s);
+  const uint64_t before = test.fleet.PlatformReads();
+  test.fleet.Put(std::string(kFollowedRow), "\x93\x05 cut");
+  test.fleet.Advance(20s);
+  // Less than one call a second for each daemon.
+  CHECK(test.fleet.PlatformReads() - before <= 6 * 20);
+  test.Write(9);
+  test.fleet.Advance(4s);
+  CHECK(test.AllHold(9));
+}
+
 // The first version as well must not depend on the relays.
 TEST_CASE("freshness: a daemon that starts while its relays are cut") {
   for (const auto separation :
