--- a/Source/Kernel/kernel_settings.h
+++ b/Source/Kernel/kernel_settings.h
@@ -184,6 +184,19 @@
   uint32_t rollout_exposure_per_mille = 100;
   uint32_t rollout_exposure_slack = 50;
 
+  // Quota.
+  /// Whether the limits of workspaces are enforced.
+  bool enforces_quota = false;
+  /// Length of the window to which the bound of a limit applies.
+  uint32_t quota_window_ms = 5'000;
+  /// Tolerated excess over the limit in a window, in per mille of the limit and
+  /// in requests.
+  uint32_t quota_overage_per_mille = 100;
+  uint32_t quota_slack = 20;
+  /// True if the whole fleet starts for the first time, so that no earlier
+  /// process can hold a share of the quota.
+  bool is_first_start = false;
+
   MSGPACK_DEFINE(self, data_centre, peers, backend, seed, spreading,
                  spreading_fanout, holders_timeout_ms, decision_timeout_ms,
                  head_read_interval_ms, snapshot_every, probe_period_ms,
@@ -196,7 +209,8 @@
                  link_kbps, fleet_retry_reserve, body_memory_kib,
                  checks_api_keys, total_body_memory_kib, slot_policy,
                  stages_rollouts, rollout_exposure_per_mille,
-                 rollout_exposure_slack)
+                 rollout_exposure_slack, enforces_quota, quota_window_ms,
+                 quota_overage_per_mille, quota_slack, is_first_start)
 };
 
 }  // namespace buckthorncart
