Enforce the limits of workspaces by shares that each daemon holds by itself

Callers of one workspace had more requests run than its limit allows (QUOTA): rate and burst were read from the configuration, and nothing asked them. Each limit now consists of 32 shares. A share has one owner, kept in one row of the platform's table that changes under a condition only; the owner fills a bucket for each workspace from its shares and admits a call for each token. What does not fit gets 429, not run, with a Retry-After from the fill rate, spread by the number of those refused.

Why this holds: buckets together hold at most the depth, are filled at the rate, and tokens expire 0.3 s after they have left a bucket, so that depth + rate x (window + 0.3 s) is an upper bound of the runs in a window, wherever the shares are. No count of daemons enters. Ruled out: rate / daemons, since a daemon that joins unseen adds to the sum.

Alone this is safe and no more: daemons without a share refuse all calls of limited workspaces.

--- a/Source/Base/error.h
+++ b/Source/Base/error.h
@@ -66,6 +66,7 @@
   kIdempotencyKeyReused,
   kAnswerNotKept,
   kUnknownKey,
+  kQuotaExceeded,
 };
 
 template <>
@@ -119,6 +120,7 @@
       "idempotency-key-reused",
       "answer-not-kept",
       "unknown-key",
+      "quota-exceeded",
   };
 };
 
--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -234,6 +234,21 @@
                 "authenticate callers by the API keys of the workspaces")
       ->envname(EnvironmentName("--check-api-keys"))
       ->group(help_group_);
+  app_.add_flag("--enforce-quota", kernel.enforces_quota,
+                "refuse calls beyond the limits of the workspaces")
+      ->envname(EnvironmentName("--enforce-quota"))
+      ->group(help_group_);
+  AddNumber("--quota-window-ms", kernel.quota_window_ms, 100, 600'000,
+            "window in which the bound of a limit holds, ms");
+  AddNumber("--quota-overage-per-mille", kernel.quota_overage_per_mille, 0,
+            1'000, "tolerated excess over a limit in a window, per mille");
+  AddNumber("--quota-slack", kernel.quota_slack, 0, 1'000'000,
+            "tolerated requests beyond that in a window");
+  app_.add_flag("--first-start", kernel.is_first_start,
+                "the whole fleet starts for the first time, so that the shares "
+                "of the quota have no owner yet")
+      ->envname(EnvironmentName("--first-start"))
+      ->group(help_group_);
   AddNumber("--header-limit", header_limit_, 1'024, 60'000,
             "maximum size of a request head, bytes");
   AddNumber("--connection-limit", connection_limit_, 1, 65'536,
--- a/Source/Kernel/effect.h
+++ b/Source/Kernel/effect.h
@@ -121,6 +121,10 @@
   kCapacityLearned,
   /// The state of a staged roll-out, or its decider, has changed.
   kRollout,
+  /// A caller was refused because its workspace has reached its limit.
+  kQuotaRefused,
+  /// The shares of the quota that this daemon owns have changed.
+  kQuotaShares,
 };
 
 template <>
@@ -148,7 +152,9 @@
                                                 "announcement-rejected",
                                                 "workspaces",
                                                 "capacity-learned",
-                                                "rollout"};
+                                                "rollout",
+                                                "quota-refused",
+                                                "quota-shares"};
 };
 
 enum class LogLevel : uint8_t { kInfo, kWarning };
--- a/Source/Kernel/event.h
+++ b/Source/Kernel/event.h
@@ -54,6 +54,9 @@
   kRolloutReport,
   kRolloutDecision,
   kFreshness,
+  kQuotaShares,
+  kQuotaLease,
+  kQuotaRequest,
 };
 
 /// The process has started; `wall_ms` is milliseconds since the epoch.
@@ -293,6 +296,15 @@
   MSGPACK_DEFINE()
 };
 
+/// The quota has been asked for `call`, and has now been answered.
+struct QuotaDecided {
+  uint64_t call = 0;
+  bool is_admitted = false;
+  /// Time after which a refused call may fit, microseconds.
+  uint64_t retry_after_us = 0;
+  MSGPACK_DEFINE(call, is_admitted, retry_after_us)
+};
+
 using Event = std::variant<
     Started, TimerFired, PeerMessageReceived, PeerConnectionLost,
     DatagramReceived, PlatformReplied, CallerRequested, CallerDisconnected,
@@ -303,7 +315,7 @@
     ConfigurationRelayChanged, EarlierBackendKnown, OwnRecordReceived,
     LeaveRecorded, DrainLimitReached, CallerBodiesChanged, LocalCapacityChanged,
     PlatformRestored, BackendUnconfirmed, ConfigurationRowRead,
-    ConfigurationConfirmed, ConfigurationUnconfirmed>;
+    ConfigurationConfirmed, ConfigurationUnconfirmed, QuotaDecided>;
 
 }  // namespace buckthorncart
 
--- a/Source/Kernel/shared_state.h
+++ b/Source/Kernel/shared_state.h
@@ -19,6 +19,7 @@
 class ClaimWriter;
 class CrashRegister;
 class PlatformQueue;
+class QuotaGate;
 class VersionGate;
 
 /// Each field may be read by all plug-ins and is written only by those given in
@@ -73,6 +74,12 @@
   /// Latest era of the platform's store that this daemon has heard of (restore
   /// detector).
   uint64_t platform_era = 0;
+  /// Decides whether calls fit into the limits of their workspaces; null if
+  /// limits are not enforced (quota holder).
+  QuotaGate* quota_gate = nullptr;
+  /// Shares of the quota that this daemon may use or lease at present (quota
+  /// shares).
+  uint32_t quota_shares = 0;
 };
 
 }  // namespace buckthorncart
--- a/Source/Plugins/Configuration/configuration_replica_inl.h
+++ b/Source/Plugins/Configuration/configuration_replica_inl.h
@@ -7,6 +7,7 @@
 
 #include "Base/digest.h"
 #include "Plugins/Configuration/configuration_replica.h"
+#include "Plugins/Configuration/datagram_version.h"
 
 namespace buckthorncart {
 
@@ -54,15 +55,7 @@
   } else if (const auto* head = std::get_if<HeadObserved>(&event)) {
     HandleHeadRow(ctx, head->row);
   } else if (const auto* datagram = std::get_if<DatagramReceived>(&event)) {
-    const uint64_t version = std::visit(
-        [](const auto& message) {
-          if constexpr (requires { message.version; })
-            return message.version;
-          else
-            return message.gossip.version;
-        },
-        datagram->message);
-    RecordPeerVersion(ctx, datagram->from, version);
+    RecordPeerVersion(ctx, datagram->from, VersionIn(datagram->message));
   } else if (const auto* lost = std::get_if<PeerConnectionLost>(&event)) {
     HandleConnectionLost(ctx, lost->peer);
   }
--- a/Source/Plugins/Configuration/datagram_version.h
+++ b/Source/Plugins/Configuration/datagram_version.h
@@ -9,14 +9,17 @@
 
 namespace buckthorncart {
 
-/// Returns the version that the sender of `datagram` holds.
+/// Returns the version that the sender of `datagram` holds; 0 if it does not
+/// say.
 inline uint64_t VersionIn(const Datagram& datagram) {
   return std::visit(
-      [](const auto& message) {
+      [](const auto& message) -> uint64_t {
         if constexpr (requires { message.version; }) {
           return message.version;
-        } else {
+        } else if constexpr (requires { message.gossip; }) {
           return message.gossip.version;
+        } else {
+          return 0;
         }
       },
       datagram);
--- a/Source/Plugins/Requests/call_failure.cc
+++ b/Source/Plugins/Requests/call_failure.cc
@@ -42,6 +42,8 @@
       return 413;
     case Errc::kIdempotencyKeyReused:
       return 422;
+    case Errc::kQuotaExceeded:
+      return 429;
     case Errc::kDeadlineExpired:
       return 504;
     default:
--- a/Source/Plugins/Requests/call_router.h
+++ b/Source/Plugins/Requests/call_router.h
@@ -114,6 +114,12 @@
     std::string version;
     /// Status of the answer whose head has been sent.
     uint16_t answer_status = 0;
+    /// The next attempt waits for a token of the quota.
+    bool awaits_quota = false;
+    /// Time after which a call that was refused for the quota may fit.
+    Duration quota_retry_after{};
+    /// Failure of the last attempt, after which the quota is asked again.
+    Errc last_failure = Errc::kOk;
   };
 
   void HandleRequest(Context& ctx, const CallerRequested& requested);
@@ -161,6 +167,14 @@
   /// false if the outcome cannot be obtained that way.
   bool QueryOutcome(Context& ctx, ActiveCall& active);
   void Attempt(Context& ctx, ActiveCall& active);
+  /// Attempts the call if it fits into the limit of its workspace, now or when
+  /// the quota has been asked. Each run counts, those of retries too.
+  void AttemptWithinQuota(Context& ctx, ActiveCall& active);
+  void HandleQuotaDecided(Context& ctx, const QuotaDecided& decided);
+  /// Ends a call that does not fit into the limit of its workspace.
+  void RefuseOverQuota(Context& ctx, ActiveCall& active, Duration retry_after);
+  /// Reports the end of `call` to the quota.
+  static void SettleQuota(Context& ctx, uint64_t call, bool may_have_run);
   /// Retries a failed attempt or answers the caller with the failure.
   /// `use_budget` is true if a retry counts against the retry budget.
   void RetryOrAnswer(Context& ctx, ActiveCall& active, Errc reason,
@@ -230,5 +244,6 @@
 #include "Plugins/Requests/call_router_attempts_inl.h"
 #include "Plugins/Requests/call_router_bodies_inl.h"
 #include "Plugins/Requests/call_router_inl.h"
+#include "Plugins/Requests/call_router_quota_inl.h"
 #include "Plugins/Requests/call_router_results_inl.h"
 #include "Plugins/Requests/call_router_versions_inl.h"
--- a/Source/Plugins/Requests/call_router_attempts_inl.h
+++ b/Source/Plugins/Requests/call_router_attempts_inl.h
@@ -307,7 +307,12 @@
   if (may_run_again &&
       MayRetry(ctx, active, use_budget, outcome != Outcome::kNotRun)) {
     counters_.Add(CallRouterCounter::kRetries);
-    Attempt(ctx, active);
+    active.last_failure = reason;
+    if (outcome == Outcome::kNotRun) {
+      Attempt(ctx, active);
+    } else {
+      AttemptWithinQuota(ctx, active);
+    }
     return;
   }
   AnswerFailure(ctx, active.call, reason, outcome);
--- a/Source/Plugins/Requests/call_router_inl.h
+++ b/Source/Plugins/Requests/call_router_inl.h
@@ -54,6 +54,8 @@
     backend_stats_.UpdateMember(ctx.Shared().self, ctx.Now());
   } else if (std::holds_alternative<DrainLimitReached>(event)) {
     GiveUpAll(ctx);
+  } else if (const auto* decided = std::get_if<QuotaDecided>(&event)) {
+    HandleQuotaDecided(ctx, *decided);
   }
 }
 
@@ -97,7 +99,7 @@
   ctx.Shared().active_calls = static_cast<uint32_t>(active_.size());
   ctx.SetTimerIn(active.deadline - ctx.Now() + kNotRunAnswerGrace,
                  TimerKind::kCallDeadline, call);
-  Attempt(ctx, active);
+  AttemptWithinQuota(ctx, active);
 }
 
 /// Share of the runs of the local backend server that are retries. The calls
@@ -231,7 +233,9 @@
   RecordAttempt(ctx, active, from, std::to_string(part.status));
   counters_.Add(CallRouterCounter::kRetries);
   active.may_have_run = true;
-  Attempt(ctx, active);
+  active.admitting = {};
+  active.last_failure = Errc::kBackendServerFailed;
+  AttemptWithinQuota(ctx, active);
   return true;
 }
 
@@ -294,6 +298,10 @@
   const auto it = active_.find(call);
   if (it == active_.end()) return;
   const ActiveCall& active = it->second;
+  if (active.awaits_quota) {
+    RefuseOverQuota(ctx, it->second, Duration::zero());
+    return;
+  }
   // The time so far is the least that the answer would have taken.
   if (active.admitting.IsSet()) RecordVersionEnd(ctx, active, false);
   backend_stats_.RecordAbandoned(active.admitting, active.route.name,
--- a/Source/Plugins/Requests/call_router_results_inl.h
+++ b/Source/Plugins/Requests/call_router_results_inl.h
@@ -17,6 +17,10 @@
 void CallRouter<Choice, Rules>::GiveUp(Context& ctx, ActiveCall& active,
                                        Errc reason) {
   const uint64_t call = active.call;
+  if (active.awaits_quota) {
+    RefuseOverQuota(ctx, active, Duration::zero());
+    return;
+  }
   ReleasePeer(active);
   const bool not_run = IsBodyIncomplete(active);
   if (active.route.repeatable || not_run)
@@ -47,6 +51,7 @@
   const bool may_have_run = it != active_.end() && it->second.may_have_run;
   if (Rules::kTrackPossibleRuns && may_have_run) outcome = Outcome::kUnknown;
   CountOutcome(outcome);
+  SettleQuota(ctx, call, outcome != Outcome::kNotRun);
   RaiseCallEnded(ctx, call, outcome);
   if (it != active_.end()) {
     RecordResult(ctx, it->second, outcome, NameOf(reason),
@@ -55,9 +60,10 @@
     results_.Add("route=\"\",outcome=\"" + std::string(NameOf(outcome)) +
                  "\",reason=\"" + std::string(NameOf(reason)) + "\"");
   }
-  const bool may_retry_later = it != active_.end() &&
-                               outcome == Outcome::kNotRun &&
-                               ctx.Settings().choice == ChoicePolicy::kNearest;
+  const bool names_retry_time = reason == Errc::kQuotaExceeded ||
+                                ctx.Settings().choice == ChoicePolicy::kNearest;
+  const bool may_retry_later =
+      it != active_.end() && outcome == Outcome::kNotRun && names_retry_time;
   const Duration retry_after = may_retry_later
                                    ? RetryAfterFor(ctx, it->second, reason)
                                    : Duration::zero();
@@ -96,8 +102,7 @@
         std::string(FindHeader(active.request.headers, header::kRequestId))},
        {"route", active.route.name},
        {"service", active.route.service},
-       {"workspace",
-        active.workspace != nullptr ? active.workspace->name : ""},
+       {"workspace", active.workspace != nullptr ? active.workspace->name : ""},
        {"version", std::to_string(active.snapshot->version)},
        {"outcome", outcome_name},
        {"reason", std::string(reason)},
@@ -136,6 +141,7 @@
 
 template <BackendChoice Choice, RequestRules Rules>
 void CallRouter<Choice, Rules>::Finish(Context& ctx, uint64_t call) {
+  SettleQuota(ctx, call, true);
   active_.erase(call);
   ctx.Shared().active_calls = static_cast<uint32_t>(active_.size());
 }
@@ -157,6 +163,7 @@
                                                   const ActiveCall& active,
                                                   Errc reason) {
   constexpr uint32_t kSteps = 1'000;
+  if (reason == Errc::kQuotaExceeded) return active.quota_retry_after;
   const Duration target =
       std::chrono::milliseconds(active.route.target_latency_ms);
   const Refusal refusal{reason, active.min_wait, target / 2,
--- a/Source/Wire/datagrams.h
+++ b/Source/Wire/datagrams.h
@@ -9,6 +9,7 @@
 
 #include "Base/address.h"
 #include "Wire/member.h"
+#include "Wire/quota_messages.h"
 
 namespace buckthorncart {
 
@@ -105,6 +106,7 @@
 
 using Datagram =
     std::variant<Probe, ProbeAck, IndirectProbe, VersionHint, MemberDigests,
-                 MemberRecords, FreshnessReport, FreshnessQuery>;
+                 MemberRecords, FreshnessReport, FreshnessQuery, ShareLease,
+                 ShareLeaseReply, TokenRequest, TokenReply, SharesMoved>;
 
 }  // namespace buckthorncart
--- a/Tests/Quota/quota_test.cc
+++ b/Tests/Quota/quota_test.cc
@@ -1,6 +1,11 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <cmath>
+#include <set>
+
 #include "Quota/quota_fleet.h"
+#include "Quota/quota_policies.h"
 
 namespace buckthorncart {
 namespace {
@@ -26,5 +31,119 @@
   CHECK(HotExcess(StandardPlugins) <= 0);
 }
 
+TEST_CASE("quota: a workspace gets more if nothing is enforced") {
+  CHECK(HotExcess(QuotaPlugins<UnenforcedPolicy>) > 0);
+}
+
+TEST_CASE("quota: a refusal is 429, not run, with a time to come back") {
+  QuotaFleet test(kSize, 1);
+  test.Start({{"hot", {1, 0}}});
+  test.Run(2s, [](const std::string& /*workspace*/, uint32_t n) {
+    return n == 1 ? 200.0 : 0.0;
+  });
+  std::set<std::string> times;
+  for (const auto& [call, answer] : test.fleet.CallerAnswers()) {
+    if (answer.status == 200) continue;
+    CHECK(answer.status == 429);
+    CHECK(FindHeader(answer.headers, header::kOutcome) == "not-run");
+    CHECK(FindHeader(answer.headers, header::kReason) == "quota-exceeded");
+    const std::string after(FindHeader(answer.headers, header::kRetryAfter));
+    REQUIRE_FALSE(after.empty());
+    CHECK(std::stod(after) > 0);
+    times.insert(after);
+  }
+  // Callers that were refused together do not come back together.
+  CHECK(times.size() > 50);
+  CHECK(test.Counter("quota_refused_total") > 100);
+}
+
+/// Everything that daemons, links and the store do to one another, at random.
+double WorstOfDisturbances(uint64_t seed, FakeFleet::PluginFactory plugins) {
+  QuotaFleet test(kSize, seed, std::move(plugins));
+  test.Start(kLimits);
+  const MemoryTable early = test.fleet.Table();
+  auto& random = test.Random();
+  const auto any = [&random] {
+    return static_cast<uint32_t>(random() % kSize) + 1;
+  };
+  std::set<uint32_t> frozen;
+  for (uint32_t step = 0; step < 30; ++step) {
+    const uint64_t salt = random();
+    switch (random() % 8) {
+      case 0:
+      case 1:
+      case 2:
+        test.Cut([salt](uint32_t n) {
+          return static_cast<uint32_t>(salt >> n & 1U);
+        });
+        break;
+      case 3:
+        test.Heal();
+        break;
+      case 4:
+        test.fleet.Restart(any());
+        break;
+      case 5:
+        for (const uint32_t n : frozen) test.fleet.Thaw(n);
+        frozen.clear();
+        if (frozen.insert(any()).second) test.fleet.Freeze(*frozen.begin());
+        break;
+      case 6:
+        test.fleet.RefusePlatformCalls({any(), any(), any()});
+        break;
+      default:
+        if (step % 3 == 0) test.fleet.RestorePlatform(early);
+        break;
+    }
+    test.Run(Duration(200'000 + random() % 1'500'000), HotLoad);
+  }
+  return std::max(test.Excess("hot", kLimits.at("hot")),
+                  test.Excess("calm", kLimits.at("calm")));
+}
+
+TEST_CASE("quota: the bound holds under cuts, freezes, restarts and restores") {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    CAPTURE(seed);
+    CHECK(WorstOfDisturbances(seed, StandardPlugins) <= 0);
+  }
+}
+
+/// The limit falls to a hundredth while the buckets are full.
+double LoweredLimitExcess(FakeFleet::PluginFactory plugins) {
+  const QuotaFleet::Limits high = {{"hot", {2'000, 1'000}}};
+  const QuotaFleet::Limits low = {{"hot", {20, 10}}};
+  QuotaFleet test(kSize, 5, std::move(plugins));
+  test.Start(high);
+  test.Write(low);
+  test.fleet.Advance(2'500ms);
+  const Time from = test.fleet.Now();
+  test.Run(6s, [](const std::string& /*workspace*/, uint32_t /*n*/) {
+    return 300.0 / kSize;
+  });
+  return test.Excess("hot", low.at("hot"), from);
+}
+
+TEST_CASE("quota: a lower limit holds for tokens that are not used") {
+  CHECK(LoweredLimitExcess(StandardPlugins) <= 0);
+}
+
+TEST_CASE("quota: buckets that are not clamped exceed a lower limit") {
+  CHECK(LoweredLimitExcess(QuotaPlugins<UnclampedBucketsPolicy>) > 0);
+}
+
+TEST_CASE("quota: a key that moves counts for its new workspace") {
+  const QuotaFleet::Limits limits = {{"new", {50, 10}}, {"old", {50, 10}}};
+  QuotaFleet test(kSize, 6);
+  test.Start(limits);
+  const auto load = [](const std::string& workspace, uint32_t /*n*/) {
+    return workspace == "old" ? 200.0 / kSize : 0.0;
+  };
+  test.Run(4s, load);
+  test.MoveKey("old", "new");
+  test.Run(8s, load);
+  CHECK(test.Excess("new", limits.at("new")) <= 0);
+  CHECK(test.Excess("old", limits.at("old")) <= 0);
+}
+
 }  // namespace
 }  // namespace buckthorncart
