Lease the shares of the quota to granters, which hand out tokens

With shares that each daemon uses by itself, callers of a small workspace were refused below its limit: most daemons have no share, and a share is worth less than a request. Owners now lease their shares to one granter for each of 16 groups of workspaces, and daemons with callers ask it for tokens.

Why no share is in two places: a lease counts at the owner from its sending, at the granter from an earlier moment, the reply that it echoes, and the owner leases to another granter only after the last lease has ended by its own clock. Views of the membership decide where tokens are of use, not how many there are. Ruled out: one lease for each pair of daemons, 770 a second at each granter; 32 owners send at most 1,280 a second in all.

--- a/Source/Plugins/Quota/granter_choice.cc
+++ b/Source/Plugins/Quota/granter_choice.cc
@@ -1,5 +1,6 @@
 #include "Plugins/Quota/granter_choice.h"
 
+#include "Base/digest.h"
 #include "Kernel/context.h"
 
 namespace buckthorncart {
@@ -12,8 +13,20 @@
 
 }  // namespace
 
-Address GranterChoice::Of(Context& ctx, uint32_t /*group*/) const {
-  return ctx.Settings().self;
+Address GranterChoice::Of(Context& ctx, uint32_t group) const {
+  Address best = ctx.Settings().self;
+  const auto weight = [group](Address candidate) {
+    return RendezvousWeight(group + 1, AddressHash{}(candidate));
+  };
+  for (const auto& [address, member] : ctx.Shared().members) {
+    if (member.status != MemberStatus::kAlive) continue;
+    const auto it = silent_.find(address);
+    if (it != silent_.end() && ctx.Now() < it->second.avoid_until) continue;
+    const bool self_drains =
+        best == ctx.Settings().self && ctx.Shared().draining;
+    if (self_drains || weight(address) > weight(best)) best = address;
+  }
+  return best;
 }
 
 void GranterChoice::RecordSilence(Address granter, Time now) {
--- a/Source/Plugins/Quota/quota.h
+++ b/Source/Plugins/Quota/quota.h
@@ -32,6 +32,8 @@
   void Attach(Context& ctx) override;
   void Handle(Context& ctx, const Event& event) override;
 
+  const QuotaPool& Pool() const { return pool_; }
+
  private:
   void HandleTimer(Context& ctx, const TimerFired& timer);
   void HandleDatagram(Context& ctx, const DatagramReceived& received);
--- a/Source/Plugins/Quota/quota_inl.h
+++ b/Source/Plugins/Quota/quota_inl.h
@@ -18,8 +18,8 @@
   if (!ctx.Settings().enforces_quota) return;
   ctx.Shared().quota_gate = &holder_;
   ctx.AllMetrics().Add(&counters_);
-  ctx.AllMetrics().AddGauge("quota_shares_leased_here", [this] {
-    return static_cast<double>(pool_.LeasedShares());
+  ctx.AllMetrics().AddGauge("quota_shares_leased_here", [this, &ctx] {
+    return static_cast<double>(pool_.LeasedShares(ctx.Now()));
   });
   leases_.Attach(ctx);
   holder_.Attach(ctx);
--- a/Source/Plugins/Quota/quota_pool.cc
+++ b/Source/Plugins/Quota/quota_pool.cc
@@ -103,9 +103,18 @@
   return grant;
 }
 
-uint32_t QuotaPool::LeasedShares() const {
+uint32_t QuotaPool::SharesOf(uint32_t group, Time now) const {
   uint32_t sum = 0;
-  for (const Group& group : groups_) sum += group.shares;
+  for (const auto& [owner, lease] : groups_[group].leases) {
+    if (lease.until > now || !rules_.ends_leases) sum += lease.shares;
+  }
+  return sum;
+}
+
+uint32_t QuotaPool::LeasedShares(Time now) const {
+  uint32_t sum = 0;
+  for (uint32_t group = 0; group < kQuotaGroups; ++group)
+    sum += SharesOf(group, now);
   return sum;
 }
 
--- a/Source/Plugins/Quota/quota_pool.h
+++ b/Source/Plugins/Quota/quota_pool.h
@@ -55,8 +55,11 @@
   /// Ends all leases; returns the group and owner of each.
   std::vector<std::pair<uint32_t, Address>> Clear(Time now);
   TokenGrant Take(const std::string& workspace, uint32_t wanted, Time now);
-  /// Returns the shares that are leased to this daemon, over all groups.
-  uint32_t LeasedShares() const;
+  /// Returns the shares of `group` that are leased to this daemon at `now`.
+  uint32_t SharesOf(uint32_t group, Time now) const;
+  /// Returns the shares that are leased to this daemon at `now`, over all
+  /// groups.
+  uint32_t LeasedShares(Time now) const;
 
  private:
   struct Lease {
--- a/Tests/Quota/quota_test.cc
+++ b/Tests/Quota/quota_test.cc
@@ -1,9 +1,11 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <cmath>
+#include <cstdlib>
 #include <set>
+#include <string>
 
+#include "Quota/granter_watch.h"
 #include "Quota/quota_fleet.h"
 #include "Quota/quota_policies.h"
 
@@ -57,9 +59,21 @@
   CHECK(test.Counter("quota_refused_total") > 100);
 }
 
+/// What a run with disturbances has shown.
+struct Disturbed {
+  /// Largest excess of any workspace over its bound.
+  double excess = 0;
+  /// Most shares of one group that granters have had at one time.
+  uint32_t most_shares = 0;
+};
+
 /// Everything that daemons, links and the store do to one another, at random.
-double WorstOfDisturbances(uint64_t seed, FakeFleet::PluginFactory plugins) {
-  QuotaFleet test(kSize, seed, std::move(plugins));
+Disturbed RunWithDisturbances(uint64_t seed) {
+  GranterWatch<StandardQuotaPolicy> watch;
+  QuotaFleet test(kSize, seed, [&watch](const KernelSettings& settings) {
+    return watch.Create(settings);
+  });
+  watch.Observe(test);
   test.Start(kLimits);
   const MemoryTable early = test.fleet.Table();
   auto& random = test.Random();
@@ -85,8 +99,8 @@
         break;
       case 5:
         for (const uint32_t n : frozen) test.fleet.Thaw(n);
-        frozen.clear();
-        if (frozen.insert(any()).second) test.fleet.Freeze(*frozen.begin());
+        frozen = {any()};
+        test.fleet.Freeze(*frozen.begin());
         break;
       case 6:
         test.fleet.RefusePlatformCalls({any(), any(), any()});
@@ -97,14 +111,20 @@
     }
     test.Run(Duration(200'000 + random() % 1'500'000), HotLoad);
   }
-  return std::max(test.Excess("hot", kLimits.at("hot")),
-                  test.Excess("calm", kLimits.at("calm")));
+  return {std::max(test.Excess("hot", kLimits.at("hot")),
+                   test.Excess("calm", kLimits.at("calm"))),
+          watch.Most()};
 }
 
+// More seeds by hand: QUOTA_SEEDS=60 quota_tests -tc="quota: the bound holds*"
 TEST_CASE("quota: the bound holds under cuts, freezes, restarts and restores") {
-  for (uint64_t seed = 1; seed <= 6; ++seed) {
+  const char* text = std::getenv("QUOTA_SEEDS");
+  const uint64_t seeds = text == nullptr ? 6 : std::stoul(text);
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
     CAPTURE(seed);
-    CHECK(WorstOfDisturbances(seed, StandardPlugins) <= 0);
+    const Disturbed disturbed = RunWithDisturbances(seed);
+    CHECK(disturbed.excess <= 0);
+    CHECK(disturbed.most_shares <= kShareCount);
   }
 }
 
