--- a/Source/Plugins/Quota/quota_inl.h
+++ b/Source/Plugins/Quota/quota_inl.h
@@ -36,6 +36,8 @@
     HandleDatagram(ctx, *datagram);
   } else if (std::holds_alternative<ConfigurationAdopted>(event)) {
     AdoptLimits(ctx);
+  } else if (std::holds_alternative<MemberChanged>(event)) {
+    choice_.HandleMembers();
   } else if (std::holds_alternative<DrainStarted>(event)) {
     StopGranting(ctx);
   }
--- a/Source/Plugins/Quota/quota_rules.h
+++ b/Source/Plugins/Quota/quota_rules.h
@@ -28,8 +28,8 @@
 /// Length of a lease: at its owner from when it was sent, at the granter from
 /// when it issued the reply that the lease echoes. The difference covers the
 /// drift of the clocks.
-inline constexpr Duration kLeaseAtOwner = 1'200ms;
-inline constexpr Duration kLeaseAtGranter = 1'150ms;
+inline constexpr Duration kLeaseAtOwner = 900ms;
+inline constexpr Duration kLeaseAtGranter = 870ms;
 
 /// Bucket for all shares of a limit.
 struct BucketLimit {
--- a/Source/Plugins/Quota/quota_shares.h
+++ b/Source/Plugins/Quota/quota_shares.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "Base/address.h"
 #include "Base/time.h"
@@ -47,6 +48,8 @@
     Time confirmed_at{};
     /// When the leases of the earlier owner have ended.
     Time usable_from{};
+    /// When a read first showed an owner that is gone.
+    std::optional<Time> abandoned_at;
     /// When the claim of this daemon was known to be written.
     std::optional<Time> claimed_at;
   };
@@ -68,9 +71,19 @@
   ShareEntry PlanClaim(Context& ctx, size_t n, const ShareEntry& entry,
                        uint64_t era);
   Table PlanFirst(Context& ctx, uint64_t era) const;
+  static std::vector<Address> FirstOwners(Context& ctx);
   /// Returns the daemon that is to own share `n` among those that are alive.
   static Address Preferred(Context& ctx, size_t n, bool with_self);
   static bool IsGone(Context& ctx, Address owner);
+  /// Returns true if the owner of share `n` has been gone for some time.
+  bool IsAbandoned(Context& ctx, size_t n, Address owner);
+  /// Returns true if no other daemon comes before this one in writing the first
+  /// row.
+  static bool IsFirst(Context& ctx);
+  /// Returns true while another daemon is to write the first row, which tells
+  /// this one if it has shares.
+  bool WaitsForFirstRow(Context& ctx) const;
+  static void NotifyOwners(Context& ctx, const ShareTable& table);
   /// Ends the ownership of shares that have not been confirmed for long.
   void EndOwnership(Context& ctx);
   void UpdateUsable(Context& ctx);
@@ -93,6 +106,13 @@
   bool gives_away_ = false;
   Time started_at_{};
   uint32_t failures_ = 0;
+  /// The store has answered.
+  bool has_read_ = false;
+  /// The row has been read or written.
+  bool knows_row_ = false;
+  /// This process has written the first row, and repeats the messages to the
+  /// owners.
+  bool repeats_notice_ = false;
   /// Reads that found no row.
   uint32_t missing_reads_ = 0;
   uint64_t timer_ = 0;
--- a/Source/Plugins/Quota/quota_shares_inl.h
+++ b/Source/Plugins/Quota/quota_shares_inl.h
@@ -3,9 +3,12 @@
 /// Definitions of `QuotaShares`; include quota_shares.h instead.
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "Base/digest.h"
 #include "Kernel/context.h"
@@ -22,11 +25,14 @@
 /// of no use to the others.
 inline constexpr Duration kOwnershipLease = 10min;
 /// Time after which the leases of an earlier owner have ended.
-inline constexpr Duration kGainWait = kLeaseAtOwner + 500ms;
+inline constexpr Duration kGainWait = kLeaseAtOwner + 300ms;
 /// Interval of the reads by which owners are confirmed and claims are seen, and
 /// of those of daemons without shares.
 inline constexpr Duration kConfirmInterval = 1min;
 inline constexpr Duration kIdleInterval = 10min;
+/// Time for which the owner of a share must have been gone before it is
+/// claimed. A daemon that has just started knows few others.
+inline constexpr Duration kAbandonedTime = 30s;
 inline constexpr Duration kFirstRead = 200ms;
 /// Time after which a fleet that starts together knows itself, so that the
 /// first row can be written, and the interval of reads until there is one.
@@ -84,6 +90,11 @@
 
 template <QuotaPolicy Policy>
 void QuotaShares<Policy>::HandleTimer(Context& ctx) {
+  if (WaitsForFirstRow(ctx)) {
+    Schedule(ctx, kFirstWrite);
+    return;
+  }
+  if (std::exchange(repeats_notice_, false)) NotifyOwners(ctx, written_);
   // A request whose reply never comes must not end the reads.
   Schedule(ctx, kConfirmInterval);
   Read(ctx);
@@ -130,6 +141,7 @@
     return;
   }
   failures_ = 0;
+  has_read_ = true;
   if (is_read) {
     HandleRead(ctx, reply);
   } else if (is_conflict) {
@@ -154,6 +166,7 @@
       return;
     }
     table = *decoded;
+    knows_row_ = true;
   }
   if (table) Observe(ctx, *table, reply.era, read_sent_at_);
   const Table next = Plan(ctx, table, reply.era);
@@ -179,14 +192,9 @@
     return;
   }
   row_ = Encode(written_);
-  if (gives_away_) {
-    std::set<Address> owners;
-    for (const ShareEntry& entry : written_.entries) owners.insert(entry.owner);
-    for (const Address owner : owners) {
-      if (owner.IsSet()) SendQuota(ctx, owner, SharesMoved{});
-    }
-    return;
-  }
+  const bool is_first_row = !std::exchange(knows_row_, true);
+  if (gives_away_ || is_first_row) NotifyOwners(ctx, written_);
+  if (gives_away_) return;
   for (size_t n = 0; n < kShareCount; ++n) {
     const bool claims = written_.entries[n].claimant == ctx.Settings().self;
     if (!claims) {
@@ -196,7 +204,8 @@
     }
   }
   Observe(ctx, written_, written_era_, write_sent_at_);
-  Schedule(ctx, kConfirmInterval);
+  repeats_notice_ = is_first_row;
+  Schedule(ctx, is_first_row ? kMissingInterval : kConfirmInterval);
 }
 
 // Ownership.
@@ -278,6 +287,43 @@
          it->second.status == MemberStatus::kGone;
 }
 
+template <QuotaPolicy Policy>
+bool QuotaShares<Policy>::IsAbandoned(Context& ctx, size_t n, Address owner) {
+  std::optional<Time>& since = shares_[n].abandoned_at;
+  if (!IsGone(ctx, owner)) {
+    since.reset();
+    return false;
+  }
+  if (!since) since = ctx.Now();
+  return ctx.Now() - *since >= kAbandonedTime;
+}
+
+template <QuotaPolicy Policy>
+bool QuotaShares<Policy>::IsFirst(Context& ctx) {
+  const auto& members = ctx.Shared().members;
+  return std::none_of(members.begin(), members.end(),
+                      [&ctx](const auto& entry) {
+                        return entry.second.status == MemberStatus::kAlive &&
+                               entry.first < ctx.Settings().self;
+                      });
+}
+
+template <QuotaPolicy Policy>
+bool QuotaShares<Policy>::WaitsForFirstRow(Context& ctx) const {
+  const bool may_be_first = ctx.Settings().is_first_start && !was_restored_;
+  if (!may_be_first || knows_row_ || !has_read_) return false;
+  return ctx.Now() - started_at_ < kConfirmInterval && !IsFirst(ctx);
+}
+
+template <QuotaPolicy Policy>
+void QuotaShares<Policy>::NotifyOwners(Context& ctx, const ShareTable& table) {
+  std::set<Address> owners;
+  for (const ShareEntry& entry : table.entries) owners.insert(entry.owner);
+  owners.erase(Address{});
+  owners.erase(ctx.Settings().self);
+  for (const Address owner : owners) SendQuota(ctx, owner, SharesMoved{});
+}
+
 template <QuotaPolicy Policy>
 typename QuotaShares<Policy>::Table QuotaShares<Policy>::Plan(
     Context& ctx, const Table& table, uint64_t era) {
@@ -293,19 +339,36 @@
   return next;
 }
 
+/// Returns all daemons, those of each data centre in turn, so that a part of
+/// the fleet that is cut off has about its part of the shares.
+template <QuotaPolicy Policy>
+std::vector<Address> QuotaShares<Policy>::FirstOwners(Context& ctx) {
+  std::map<std::string, std::vector<Address>> data_centres;
+  const SharedState& shared = ctx.Shared();
+  data_centres[shared.self.data_centre].push_back(ctx.Settings().self);
+  for (const auto& [address, member] : shared.members) {
+    if (member.status == MemberStatus::kAlive)
+      data_centres[member.data_centre].push_back(address);
+  }
+  std::vector<Address> order;
+  for (size_t i = 0; i <= shared.members.size(); ++i) {
+    for (const auto& [name, daemons] : data_centres) {
+      if (i < daemons.size()) order.push_back(daemons[i]);
+    }
+  }
+  return order;
+}
+
 /// At the first start of the fleet no share can have an owner that is not
 /// known. Otherwise the row may have been lost, and the owners with it.
 template <QuotaPolicy Policy>
 typename QuotaShares<Policy>::Table QuotaShares<Policy>::PlanFirst(
     Context& ctx, uint64_t era) const {
   const Address self = ctx.Settings().self;
-  for (const auto& [address, member] : ctx.Shared().members) {
-    // One daemon is enough to write it, if it can.
-    const bool is_before =
-        member.status == MemberStatus::kAlive && address < self;
-    if (is_before && missing_reads_ < kMaxMissingReads) return {};
-  }
+  // One daemon is enough to write it, if it can.
+  if (!IsFirst(ctx) && missing_reads_ < kMaxMissingReads) return {};
   const bool is_first = ctx.Settings().is_first_start && !was_restored_;
+  const std::vector<Address> order = FirstOwners(ctx);
   ShareTable first;
   for (size_t n = 0; n < kShareCount; ++n) {
     ShareEntry entry;
@@ -313,7 +376,7 @@
     if (shares_[n].is_owned) {
       entry.owner = self;
     } else if (is_first) {
-      entry.owner = Preferred(ctx, n, true);
+      entry.owner = order[n % order.size()];
     }
     first.entries.push_back(entry);
   }
@@ -338,7 +401,7 @@
   const bool is_free = !entry.owner.IsSet() && entry.era == era;
   if (is_free && Preferred(ctx, n, true) == self) return {self, era, {}};
   const bool is_uncertain = entry.era != era && entry.owner == self;
-  const bool is_abandoned = !is_free && IsGone(ctx, entry.owner);
+  const bool is_abandoned = !is_free && IsAbandoned(ctx, n, entry.owner);
   if (!is_uncertain && !is_abandoned) return entry;
   return PlanClaim(ctx, n, entry, era);
 }
--- a/Source/Plugins/Quota/share_leases.cc
+++ b/Source/Plugins/Quota/share_leases.cc
@@ -8,10 +8,10 @@
 namespace buckthorncart {
 namespace {
 
-/// Interval of the leases of one group. A lease outlasts one that is lost.
-constexpr Duration kLeaseInterval = 400ms;
-/// Set in the argument of a timer that is not repeated.
-constexpr uint64_t kOnceBit = 1ULL << 32U;
+/// Interval of the leases. A lease outlasts one that is lost.
+constexpr Duration kLeaseInterval = 300ms;
+/// Argument of the timer that is repeated; others name a group.
+constexpr uint64_t kAllGroups = kQuotaGroups;
 constexpr uint32_t kMaxUnanswered = 2;
 
 }  // namespace
@@ -19,17 +19,18 @@
 void ShareLeases::Attach(Context& ctx) { ctx.AllMetrics().Add(&counters_); }
 
 void ShareLeases::Start(Context& ctx) {
-  ctx.SetTimerIn(kLeaseInterval / kQuotaGroups, TimerKind::kQuotaLease, 0);
+  const auto offset =
+      ctx.RandomBelow(static_cast<uint32_t>(kLeaseInterval.count()));
+  ctx.SetTimerIn(Duration(offset), TimerKind::kQuotaLease, kAllGroups);
 }
 
 void ShareLeases::HandleTimer(Context& ctx, uint64_t argument) {
-  const auto group = static_cast<uint32_t>(argument & (kOnceBit - 1));
-  if (group >= kQuotaGroups) return;
-  if ((argument & kOnceBit) == 0) {
-    ctx.SetTimerIn(kLeaseInterval / kQuotaGroups, TimerKind::kQuotaLease,
-                   (group + 1) % kQuotaGroups);
+  if (argument < kQuotaGroups) {
+    Lease(ctx, static_cast<uint32_t>(argument));
+    return;
   }
-  Lease(ctx, group);
+  ctx.SetTimerIn(kLeaseInterval, TimerKind::kQuotaLease, kAllGroups);
+  for (uint32_t group = 0; group < kQuotaGroups; ++group) Lease(ctx, group);
 }
 
 void ShareLeases::Lease(Context& ctx, uint32_t group) {
@@ -40,7 +41,7 @@
     const Duration remaining = state.leased_until - ctx.Now();
     if (waits_for_lease_end_ && remaining > Duration::zero()) {
       if (remaining < kLeaseInterval)
-        ctx.SetTimerIn(remaining, TimerKind::kQuotaLease, group | kOnceBit);
+        ctx.SetTimerIn(remaining, TimerKind::kQuotaLease, group);
       return;
     }
     counters_.Add(ShareLeaseCounter::kMoves);
--- a/Tests/Quota/quota_test.cc
+++ b/Tests/Quota/quota_test.cc
@@ -165,5 +165,27 @@
   CHECK(test.Excess("old", limits.at("old")) <= 0);
 }
 
+TEST_CASE("quota: the runs of retries count") {
+  QuotaFleet test(kSize, 11);
+  test.Start(kLimits);
+  for (const uint32_t n : test.fleet.Numbers())
+    test.fleet.Behaviours()[n].failure_every = 2;
+  test.Run(10s, HotLoad);
+  CHECK(test.Counter("call_retries_total") > 100);
+  CHECK(test.Excess("hot", kLimits.at("hot")) <= 0);
+}
+
+TEST_CASE("quota: a call that no backend server runs returns its token") {
+  QuotaFleet test(kSize, 12);
+  test.Start(kLimits);
+  for (const uint32_t n : test.fleet.Numbers())
+    test.fleet.Behaviours()[n].sheds = true;
+  test.Run(5s, [](const std::string& workspace, uint32_t /*n*/) {
+    return workspace == "calm" ? 12.0 / kSize : 0.0;
+  });
+  CHECK(test.Counter("quota_returned_total") > 40);
+  CHECK(test.Counter("quota_refused_total") == 0);
+}
+
 }  // namespace
 }  // namespace buckthorncart
