--- a/Tests/EndToEnd/client_crowd.cc
+++ b/Tests/EndToEnd/client_crowd.cc
@@ -7,13 +7,8 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
-#include <cstdio>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
-#include <string>
 #include <string_view>
 #include <thread>
 
@@ -101,29 +96,4 @@
       std::distance(begin(entries), std::filesystem::directory_iterator()));
 }
 
-uint64_t UnreadBytes(Address local) {
-  constexpr int kHex = 16;
-  constexpr std::string_view kEstablished = "01";
-  constexpr std::string_view kCloseWait = "08";
-  std::array<char, kHex> expected{};
-  std::snprintf(expected.data(), expected.size(), "%08X:%04X", htonl(local.ip),
-                static_cast<unsigned>(local.port));
-  std::ifstream table("/proc/net/tcp");
-  std::string line;
-  uint64_t sum = 0;
-  while (std::getline(table, line)) {
-    std::istringstream fields(line);
-    std::string slot;
-    std::string address;
-    std::string remote;
-    std::string state;
-    std::string queues;
-    fields >> slot >> address >> remote >> state >> queues;
-    const bool is_open = state == kEstablished || state == kCloseWait;
-    if (address != expected.data() || !is_open) continue;
-    sum += std::stoull(queues.substr(queues.find(':') + 1), nullptr, kHex);
-  }
-  return sum;
-}
-
 }  // namespace buckthorncart
