Show that bytes which a daemon has not read yet are not bounded

Clients that nobody controls ended a process for lack of memory. Seven uploads fill the memory for bodies (64 MiB), 498 further connections have sent a head only; while the daemon gets no processor time they send their bodies. Bound: bodies + buffers + 32 MiB for the daemon, as the platform's settings divide the memory. Crowd and bound are fixed with this commit.

A first crowd of 512 bodies that began at once showed nothing: they were refused, and their sockets closed.

--- a/Tests/EndToEnd/client_crowd.cc
+++ b/Tests/EndToEnd/client_crowd.cc
@@ -7,8 +7,13 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
+#include <cstdio>
 #include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
 #include <string_view>
 #include <thread>
 
@@ -96,4 +101,31 @@
       std::distance(begin(entries), std::filesystem::directory_iterator()));
 }
 
+uint64_t UnreadBytes(Address local) {
+  constexpr int kHex = 16;
+  /// Established, FIN-WAIT-1 and -2, CLOSE-WAIT: the process has them open.
+  constexpr std::array<std::string_view, 4> kOpenStates = {"01", "04", "05",
+                                                           "08"};
+  std::array<char, kHex> expected{};
+  std::snprintf(expected.data(), expected.size(), "%08X:%04X", htonl(local.ip),
+                static_cast<unsigned>(local.port));
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  uint64_t sum = 0;
+  while (std::getline(table, line)) {
+    std::istringstream fields(line);
+    std::string slot;
+    std::string address;
+    std::string remote;
+    std::string state;
+    std::string queues;
+    fields >> slot >> address >> remote >> state >> queues;
+    const bool is_open = std::find(kOpenStates.begin(), kOpenStates.end(),
+                                   state) != kOpenStates.end();
+    if (address != expected.data() || !is_open) continue;
+    sum += std::stoull(queues.substr(queues.find(':') + 1), nullptr, kHex);
+  }
+  return sum;
+}
+
 }  // namespace buckthorncart
--- a/Tests/EndToEnd/client_crowd.h
+++ b/Tests/EndToEnd/client_crowd.h
@@ -55,4 +55,8 @@
 /// Number of open descriptors of a process; 0 if it has ended.
 size_t OpenDescriptors(int pid);
 
+/// Bytes that connections to `local` have received and that no process has read
+/// yet.
+uint64_t UnreadBytes(Address local);
+
 }  // namespace buckthorncart
--- a/Tests/EndToEnd/untrusted_client_test.cc
+++ b/Tests/EndToEnd/untrusted_client_test.cc
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <csignal>
 #include <cstdio>
 #include <string>
 #include <vector>
@@ -266,5 +267,62 @@
             2);
 }
 
+// Bytes that the system had received for a daemon, and that it had not read
+// yet, were not bounded. With many connections and a slow processor they were
+// half of what the VM has (DEPLOY: they count toward its memory).
+TEST_CASE("untrusted: bytes that the daemon has not read yet") {
+  constexpr int kConnections = 512;
+  constexpr int kUploads = 7;
+  constexpr uint64_t kBufferMemoryKiB = 4 * kKiB;
+  /// For the daemon itself, as on the platform.
+  constexpr uint64_t kOwnMemoryKiB = 32 * kKiB;
+  constexpr uint64_t kMemoryKiB =
+      kBodyMemoryKiB + kBufferMemoryKiB + kOwnMemoryKiB;
+  constexpr size_t kPieceBytes = 64 * kKiB;
+  ProcessFleet fleet;
+  fleet.StartPlatform();
+  const pid_t pid = fleet.StartDaemon(
+      1, 1,
+      {"--body-limit", std::to_string(kBodyLimitBytes), "--body-memory-kib",
+       std::to_string(kBodyMemoryKiB), "--buffer-memory-kib",
+       std::to_string(kBufferMemoryKiB), "--connection-limit",
+       std::to_string(kConnections), "--fd-limit", "2000"});
+  fleet.StartBackendServer(1, "vet-intake");
+  REQUIRE(WaitFor([&fleet] {
+    return fleet.Get(fleet.Operators(1), "/ready").status == 200;
+  }));
+  REQUIRE(fleet
+              .Post(fleet.Operators(1), "/v1/changes",
+                    "create service vet-intake\n"
+                    "create route p path=/p service=vet-intake timeout=30s")
+              .status == 200);
+  const auto serves = [&fleet] {
+    return fleet.Get(fleet.Callers(1), "/p/1").status == 200;
+  };
+  REQUIRE(WaitFor(serves));
+  {
+    // Some fill the memory for bodies, the others have only begun.
+    ClientCrowd uploads(fleet.Callers(1), kUploads);
+    uploads.Send({UploadHead(kBodyLimitBytes), std::string(kPieceBytes, 'b'),
+                  kBodyLimitBytes / kPieceBytes - 1});
+    ClientCrowd crowd(fleet.Callers(1), kConnections - 2 * kUploads);
+    crowd.Send({UploadHead(kBodyLimitBytes), "", 0});
+    // The daemon gets no processor time for a while.
+    fleet.Signal("daemon-1", SIGSTOP);
+    crowd.Send(
+        {"", std::string(kPieceBytes, 'b'), kBodyLimitBytes / kPieceBytes - 1});
+    const uint64_t unread_kib = UnreadBytes(fleet.Callers(1)) / kKiB;
+    const uint64_t peak_kib = PeakMemoryKiB(pid);
+    MESSAGE("unread " << unread_kib << " KiB, peak memory " << peak_kib
+                      << " KiB, bound " << kMemoryKiB << " KiB");
+    CHECK(peak_kib > 0);
+    CHECK(peak_kib + unread_kib <= kMemoryKiB);
+    fleet.Signal("daemon-1", SIGCONT);
+    CHECK(WaitFor(serves));
+    CHECK(OpenDescriptors(pid) > 0);
+  }
+  CHECK(WaitFor(serves));
+}
+
 }  // namespace
 }  // namespace buckthorncart
