Bound what the system receives for a client before the daemon reads it

Clients that nobody controls could make a daemon's memory, with the bytes that had been received for it and were not read, larger than its VM: each connection held 128 KiB and more, and nothing divided the memory by the number of connections.

A large body is received with 128 KiB on 32 connections at a time.

`node settings: all limits on memory together fit in the VM` counts the unread bytes too. Ruled out: a lower connection limit, since a test asks for 1,024 and callers keep theirs open.

--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -108,6 +108,7 @@
   uint32_t connection_limit_ = 2'048;
   uint32_t pipelined_requests_ = kDefaultPipelinedRequests;
   uint32_t buffer_memory_kib_ = 64U << 10U;
+  uint32_t receive_buffer_kib_ = 64;
 };
 
 SettingsParser::SettingsParser() {
@@ -255,6 +256,9 @@
             "maximum number of connections of callers");
   AddNumber("--pipelined-requests", pipelined_requests_, 1, 256,
             "maximum number of requests under way on a caller's connection");
+  AddNumber("--receive-buffer-kib", receive_buffer_kib_, 8, 65'536,
+            "maximum that the system receives for a connection of a caller or "
+            "operator before it is read, KiB");
   AddNumber("--buffer-memory-kib", buffer_memory_kib_, 1'024, ~0U,
             "memory for heads, small bodies, unparsed bytes and unsent answers "
             "of all clients, KiB");
@@ -340,6 +344,8 @@
   settings_.driver.limits.message.head_bytes = header_limit_;
   settings_.driver.limits.message.body_bytes = body_limit_;
   settings_.driver.limits.connections = connection_limit_;
+  settings_.driver.limits.receive_buffer_bytes =
+      BytesOfKib(receive_buffer_kib_);
   settings_.driver.limits.pipeline.requests = pipelined_requests_;
   settings_.driver.limits.memory.body_bytes =
       BytesOfKib(settings_.kernel.body_memory_kib);
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -61,7 +61,9 @@
     open_ = true;
     loop_.RunIn(kTimeoutCheckInterval, [this] { CloseExpiredSessions(); });
   }
-  return endpoint_.Bind(address, [this](Stream& stream) { Accept(stream); });
+  return endpoint_.Bind(
+      address, [this](Stream& stream) { Accept(stream); },
+      limits_.receive_buffer_bytes);
 }
 
 Result<void> HttpServer::StartListening() { return endpoint_.StartListening(); }
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -29,6 +29,9 @@
   /// Maximum number of open connections. A further one takes the place of one
   /// that is idle or has stalled, or is closed at once if there is none.
   size_t connections = 4'096;
+  /// Bytes that the system may receive for each connection before they are
+  /// read; 0 if the system decides.
+  size_t receive_buffer_bytes = 0;
   /// Maximum time for receiving one request.
   Duration request_time = 60s;
   /// Idle time after which a connection is closed.
@@ -124,6 +127,8 @@
   ClientMemory& memory_;
   uint64_t refused_bodies_ = 0;
   uint64_t evicted_connections_ = 0;
+  /// Connections with a large receive buffer.
+  size_t large_buffers_ = 0;
   PipelineCounts pipeline_counts_;
   /// Requests that run behind others of their connections.
   size_t overlapping_ = 0;
--- a/Source/Net/http_session.h
+++ b/Source/Net/http_session.h
@@ -122,6 +122,11 @@
   /// A client that has sent more than this after a request that is being
   /// answered may lose its connection when memory is short.
   static constexpr size_t kMaxHeldAheadBytes = 16'384;
+  /// Bodies from this size on are received with a large buffer, on so many
+  /// connections at a time.
+  static constexpr uint64_t kLargeBodyBytes = 65'536;
+  static constexpr size_t kLargeReceiveBufferBytes = 131'072;
+  static constexpr size_t kMaxLargeBuffers = 32;
   /// Deadlines are counted in this unit.
   static constexpr Duration kMinReportedWait = 1ms;
   /// Requests that are read in one turn, so that a client that pipelines
@@ -279,9 +284,31 @@
     usage.lagging =
         stream_->BufferedBytes() > 0 || HeldAheadBytes() > kMaxHeldAheadBytes;
     usage.transfers = transfers_;
+    AdaptReceiveBuffer(usage.body_bytes);
     return server_.memory_.Record(*this, usage, last_transfer_);
   }
 
+  /// Lets the system receive more for a large body, on a few connections at a
+  /// time, so that it does not take long over a distant link.
+  void AdaptReceiveBuffer(uint64_t body_bytes) {
+    const size_t usual = server_.limits_.receive_buffer_bytes;
+    const bool is_large = body_bytes >= kLargeBodyBytes;
+    if (usual == 0 || is_large == has_large_buffer_) return;
+    if (is_large && server_.large_buffers_ >= kMaxLargeBuffers) return;
+    SetLargeBuffer(is_large);
+    stream_->SetReceiveBuffer(
+        is_large ? std::max(usual, kLargeReceiveBufferBytes) : usual);
+  }
+
+  void SetLargeBuffer(bool is_large) {
+    if (std::exchange(has_large_buffer_, is_large) == is_large) return;
+    if (is_large) {
+      ++server_.large_buffers_;
+    } else {
+      --server_.large_buffers_;
+    }
+  }
+
   /// Bytes that the client has sent after requests that are being answered.
   uint64_t HeldAheadBytes() const {
     const uint64_t body_bytes = queue_.IsEmpty() ? 0 : reader_.BodyMemory();
@@ -376,6 +403,7 @@
     reader_.Discard();
     queue_.Clear();
     CountOverlapping();
+    SetLargeBuffer(false);
   }
 
   HttpServer& server_;
@@ -397,6 +425,7 @@
   bool in_read_loop_ = false;
   bool in_write_loop_ = false;
   bool reading_stopped_ = false;
+  bool has_large_buffer_ = false;
   /// `Continue` will be called from the loop.
   bool continues_later_ = false;
 };
--- a/Source/Net/stream.cc
+++ b/Source/Net/stream.cc
@@ -1,5 +1,7 @@
 #include "Net/stream.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -53,6 +55,14 @@
   FlushOrRemove();
 }
 
+void Stream::SetReceiveBuffer(size_t bytes) {
+  // The system doubles the first value for its own records. The second one
+  // limits the window and keeps what it was when the connection was accepted.
+  const int half = static_cast<int>(bytes / 2);
+  setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &half, sizeof(half));
+  setsockopt(fd_, IPPROTO_TCP, TCP_WINDOW_CLAMP, &half, sizeof(half));
+}
+
 void Stream::BufferBody() {
   write_buffer_.append(body_rest_);
   body_rest_ = {};
--- a/Source/Net/stream.h
+++ b/Source/Net/stream.h
@@ -42,6 +42,8 @@
     return write_buffer_.capacity() + body_rest_.size();
   }
   void SetReading(bool reading);
+  /// Sets what the system may receive before it is read.
+  void SetReceiveBuffer(size_t bytes);
   /// Closes the connection after all data has been written and the peer has
   /// closed its side or a timeout has expired. The handler is not called any
   /// more.
--- a/Source/Net/tcp_endpoint.cc
+++ b/Source/Net/tcp_endpoint.cc
@@ -109,10 +109,17 @@
   return watcher_.Open(name);
 }
 
-Result<void> TcpEndpoint::Bind(Address address, AcceptHandler on_accept) {
+Result<void> TcpEndpoint::Bind(Address address, AcceptHandler on_accept,
+                               size_t receive_buffer_bytes) {
   const int fd = OpenSocket();
   if (fd < 0) return AddressInUse(address);
   SetOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  // Accepted connections inherit it. The system doubles the value for its own
+  // records.
+  if (receive_buffer_bytes > 0) {
+    SetOption(fd, SOL_SOCKET, SO_RCVBUF,
+              static_cast<int>(receive_buffer_bytes / 2));
+  }
   const sockaddr_in socket_address = ToSocketAddress(address);
   if (bind(fd, reinterpret_cast<const sockaddr*>(&socket_address),
            sizeof(socket_address)) != 0) {
--- a/Source/Net/tcp_endpoint.h
+++ b/Source/Net/tcp_endpoint.h
@@ -41,7 +41,10 @@
   Result<void> Open(const std::string& name);
   /// Binds an address without listening: connections to it are refused until
   /// `StartListening`. Fails with `kAddressInUse`.
-  Result<void> Bind(Address address, AcceptHandler on_accept);
+  /// `receive_buffer_bytes` is what the system may receive for each accepted
+  /// connection before it is read; 0 if the system decides.
+  Result<void> Bind(Address address, AcceptHandler on_accept,
+                    size_t receive_buffer_bytes = 0);
   /// Listens on all bound addresses. Fails with `kAddressInUse` if another
   /// process has started to listen on one of them in the meantime.
   Result<void> StartListening();
--- a/Tests/Platform/node_settings_test.cc
+++ b/Tests/Platform/node_settings_test.cc
@@ -116,7 +116,11 @@
     CHECK(BytesOfKib(settings.kernel.body_memory_kib) >= kLargestBody);
     CHECK(BytesOfKib(settings.kernel.total_body_memory_kib) ==
           limits.total_body_bytes);
-    CHECK(limits.total_body_bytes + limits.buffer_bytes + kIdleBytes <=
+    const HttpServerLimits& server = settings.driver.limits;
+    const uint64_t unread_bytes =
+        server.connections * server.receive_buffer_bytes;
+    CHECK(limits.total_body_bytes + limits.buffer_bytes + unread_bytes +
+              kIdleBytes <=
           memory_mb * kBytesPerMb);
   }
 }
