--- a/Source/Plugins/Quota/quota_shares.h
+++ b/Source/Plugins/Quota/quota_shares.h
@@ -126,3 +126,4 @@
 }  // namespace buckthorncart
 
 #include "Plugins/Quota/quota_shares_inl.h"
+#include "Plugins/Quota/quota_shares_plan_inl.h"
--- a/Tests/Quota/quota_fleet.cc
+++ b/Tests/Quota/quota_fleet.cc
@@ -29,7 +29,7 @@
 
 QuotaFleet::QuotaFleet(uint32_t size, uint64_t seed,
                        FakeFleet::PluginFactory plugins)
-    : fleet(std::move(plugins)), size_(size), seed_(seed), random_(seed) {
+    : fleet(std::move(plugins)), seed_(seed), random_(seed) {
   std::vector<KernelSettings> all;
   for (uint32_t n = 1; n <= size; ++n) all.push_back(SettingsOf(n));
   fleet.AddAll(all);
--- a/Tests/Quota/quota_fleet.h
+++ b/Tests/Quota/quota_fleet.h
@@ -96,7 +96,6 @@
   void Send(const std::string& workspace, uint32_t n);
   Duration NextArrival(double per_second);
 
-  uint32_t size_;
   uint64_t seed_;
   std::mt19937_64 random_;
   Limits limits_;
