--- a/Source/Plugins/Quota/quota_inl.h
+++ b/Source/Plugins/Quota/quota_inl.h
@@ -95,8 +95,8 @@
 template <QuotaPolicy Policy>
 void Quota<Policy>::HandleRequest(Context& ctx, Address from,
                                   const TokenRequest& request) {
-  const TokenGrant grant =
-      pool_.Take(request.workspace, request.tokens, ctx.Now());
+  const TokenGrant grant = pool_.Take(
+      request.workspace, std::min(request.tokens, kMaxTokens), ctx.Now());
   counters_.Add(QuotaCounter::kTokensGranted, grant.tokens);
   const auto milliseconds = [](Duration duration) {
     return static_cast<uint32_t>(
--- a/Source/Plugins/Quota/quota_rules.h
+++ b/Source/Plugins/Quota/quota_rules.h
@@ -25,6 +25,8 @@
 inline constexpr uint32_t kQuotaGroups = 16;
 /// Time from the request for tokens until they expire.
 inline constexpr Duration kTokenLifetime = 300ms;
+/// Most tokens that are asked for at once.
+inline constexpr uint32_t kMaxTokens = 1'000;
 /// Length of a lease: at its owner from when it was sent, at the granter from
 /// when it issued the reply that the lease echoes. The difference covers the
 /// drift of the clocks.
--- a/Source/Plugins/Quota/share_leases.cc
+++ b/Source/Plugins/Quota/share_leases.cc
@@ -88,7 +88,6 @@
   choice_.RecordReply(from);
   state.unanswered = 0;
   const bool is_first = state.incarnation != reply.incarnation;
-  if (!is_first && reply.issue_us <= state.issue_us) return;
   state.incarnation = reply.incarnation;
   state.issue_us = reply.issue_us;
   if (is_first && ctx.Shared().quota_shares > 0) Send(ctx, reply.group);
--- a/Source/Plugins/Quota/token_holder.cc
+++ b/Source/Plugins/Quota/token_holder.cc
@@ -19,7 +19,6 @@
 /// Calls that are expected within this time are asked for ahead.
 constexpr double kAheadS = 0.2;
 constexpr uint32_t kMinAhead = 2;
-constexpr uint32_t kMaxTokens = 1'000;
 constexpr Duration kMinRetry = 50ms;
 
 }  // namespace
--- a/Tests/Quota/quota_test.cc
+++ b/Tests/Quota/quota_test.cc
@@ -4,10 +4,13 @@
 #include <cstdlib>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Quota/granter_watch.h"
 #include "Quota/quota_fleet.h"
 #include "Quota/quota_policies.h"
+#include "Support/mutation.h"
+#include "Wire/codec.h"
 
 namespace buckthorncart {
 namespace {
@@ -187,5 +190,39 @@
   CHECK(test.Counter("quota_refused_total") == 0);
 }
 
+// Messages and rows with odd bytes cost at most themselves.
+TEST_CASE("quota: odd messages and rows end nothing and give out no more") {
+  QuotaFleet test(kSize, 13);
+  test.Start(kLimits);
+  pcg32 random(13);
+  const uint64_t incarnation =
+      test.fleet.At(1).GetContext().Shared().self.incarnation;
+  const std::vector<std::string> messages = {
+      Encode(Datagram(ShareLease{1, 4, incarnation, 1})),
+      Encode(Datagram(ShareLeaseReply{1, incarnation, 1, false})),
+      Encode(Datagram(TokenRequest{1, "hot", 1})),
+      Encode(Datagram(TokenReply{1, 1, 1, 1, 1, 1, 1, false})),
+      Encode(Datagram(SharesMoved{}))};
+  const std::string row_key(kShareRow);
+  const std::string row =
+      test.fleet.Table().Apply(ReadRows{{row_key}}).rows.at(row_key);
+  for (uint32_t round = 0; round < 20; ++round) {
+    for (uint32_t i = 0; i < 200; ++i) {
+      const auto datagram =
+          Decode<Datagram>(Mutate(messages[i % messages.size()], random));
+      const uint32_t n = i % kSize + 1;
+      const Address from = test.fleet.At(n % kSize + 1).Self();
+      if (datagram) test.fleet.Inject(n, DatagramReceived{from, *datagram});
+    }
+    test.fleet.Put(row_key, round % 2 == 0 ? Mutate(row, random) : row);
+    test.Run(300ms, HotLoad);
+  }
+  test.fleet.Put(row_key, row);
+  test.Run(5s, HotLoad);
+  CHECK(test.Excess("hot", kLimits.at("hot")) <= 0);
+  const QuotaResult calm = test.ResultOf("calm", kLimits.at("calm"));
+  CHECK(calm.refused * 4 <= calm.sent);
+}
+
 }  // namespace
 }  // namespace buckthorncart
