--- a/Source/Daemon/daemon_settings.cc
+++ b/Source/Daemon/daemon_settings.cc
@@ -12,6 +12,23 @@
 #include "Net/loop.h"
 
 namespace buckthorncart {
+
+/// What the daemon does about the limits of workspaces.
+enum class QuotaMode : uint8_t { kIgnored, kEnforced };
+
+template <>
+struct EnumNames<QuotaMode> {
+  static constexpr std::string_view kNames[] = {"ignored", "enforced"};
+};
+
+/// Whether earlier processes of the fleet may have state at the platform.
+enum class FleetStart : uint8_t { kAgain, kFirst };
+
+template <>
+struct EnumNames<FleetStart> {
+  static constexpr std::string_view kNames[] = {"again", "first"};
+};
+
 namespace {
 
 constexpr int kUsageStatus = 2;
@@ -56,6 +73,7 @@
   if (flag == "--trace") return "FILE";
   if (flag == "--data-centre" || flag == "--spreading") return "NAME";
   if (flag.starts_with("--log-")) return "NAME";
+  if (flag == "--quota" || flag == "--fleet-start") return "NAME";
   return "IP:PORT";
 }
 
@@ -71,6 +89,8 @@
   std::string profile = "balanced";
   std::string spreading = "mixed";
   std::string choice = "two-random";
+  std::string quota = "ignored";
+  std::string fleet_start = "again";
   std::string log_format = "text";
   std::string log_level = "info";
 };
@@ -94,6 +114,7 @@
   /// Parses `raw_` into `settings_` and validates the result.
   Result<void> Resolve();
   Result<void> ResolveProfile();
+  Result<void> ResolveQuota();
   Result<Address> ParseAddress(const std::string& flag,
                                const std::string& text) const;
 
@@ -235,21 +256,19 @@
                 "authenticate callers by the API keys of the workspaces")
       ->envname(EnvironmentName("--check-api-keys"))
       ->group(help_group_);
-  app_.add_flag("--enforce-quota", kernel.enforces_quota,
-                "refuse calls beyond the limits of the workspaces")
-      ->envname(EnvironmentName("--enforce-quota"))
-      ->group(help_group_);
+  AddText("--quota", raw_.quota,
+          "limits of the workspaces: " + NamesOf<QuotaMode>(), false);
   AddNumber("--quota-window-ms", kernel.quota_window_ms, 100, 600'000,
             "window in which the bound of a limit holds, ms");
   AddNumber("--quota-overage-per-mille", kernel.quota_overage_per_mille, 0,
             1'000, "tolerated excess over a limit in a window, per mille");
   AddNumber("--quota-slack", kernel.quota_slack, 0, 1'000'000,
             "tolerated requests beyond that in a window");
-  app_.add_flag("--first-start", kernel.is_first_start,
-                "the whole fleet starts for the first time, so that the shares "
-                "of the quota have no owner yet")
-      ->envname(EnvironmentName("--first-start"))
-      ->group(help_group_);
+  AddText("--fleet-start", raw_.fleet_start,
+          "whether the whole fleet starts for the first time, so that the "
+          "shares of the quota have no owner yet: " +
+              NamesOf<FleetStart>(),
+          false);
   AddNumber("--header-limit", header_limit_, 1'024, 60'000,
             "maximum size of a request head, bytes");
   AddNumber("--connection-limit", connection_limit_, 1, 65'536,
@@ -357,6 +376,7 @@
   if (resolved) {
     resolved = ParseName("--choice", raw_.choice, settings_.kernel.choice);
   }
+  if (resolved) resolved = ResolveQuota();
   if (resolved) {
     resolved = ParseName("--log-format", raw_.log_format, settings_.log_format);
   }
@@ -368,6 +388,19 @@
 
 /// Applies the profile to the settings for which neither the flag nor the
 /// variable is set.
+Result<void> SettingsParser::ResolveQuota() {
+  QuotaMode mode = QuotaMode::kIgnored;
+  const Result<void> parsed = ParseName("--quota", raw_.quota, mode);
+  if (!parsed) return parsed;
+  FleetStart start = FleetStart::kAgain;
+  const Result<void> start_parsed =
+      ParseName("--fleet-start", raw_.fleet_start, start);
+  if (!start_parsed) return start_parsed;
+  settings_.kernel.enforces_quota = mode == QuotaMode::kEnforced;
+  settings_.kernel.is_first_start = start == FleetStart::kFirst;
+  return {};
+}
+
 Result<void> SettingsParser::ResolveProfile() {
   KernelSettings& kernel = settings_.kernel;
   auto profile = SpreadingProfile::kBalanced;
